--- /dev/null
+++ b/bin/galenaloft-load/src/main.rs
@@ -0,0 +1,3 @@
+//! Open-loop load for entry hosts.
+
+fn main() {}
--- /dev/null
+++ b/bin/galenaloft/src/command/check.rs
@@ -0,0 +1,41 @@
+//! Checking a sheet before it is published.
+
+use std::fs;
+use std::path::Path;
+
+use galenaloft_config::reader::ConfigError;
+use galenaloft_config::sheet::Sheet;
+use galenaloft_config::sheet::diff;
+
+use crate::error::CommandError;
+
+/// Checks a sheet and prints what would change against another one.
+pub fn check(sheet: &Path, against: Option<&Path>) -> Result<(), CommandError> {
+    let new = load(sheet)?;
+    let (kinds, ranks) = (new.kinds.len(), new.ranks.len());
+    println!(
+        "{} is valid: customer {}, {kinds} kinds, {ranks} ranks.",
+        sheet.display(),
+        new.customer
+    );
+    let Some(against) = against else {
+        return Ok(());
+    };
+    let changes = diff(&load(against)?, &new);
+    if changes.is_empty() {
+        println!("Nothing changes against {}.", against.display());
+    }
+    for change in changes {
+        println!("  {change}");
+    }
+    Ok(())
+}
+
+fn load(path: &Path) -> Result<Sheet, ConfigError> {
+    let file = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|e| ConfigError::Unreadable {
+        file: file.clone(),
+        why: e.to_string(),
+    })?;
+    Sheet::parse(&file, &text)
+}
--- /dev/null
+++ b/bin/galenaloft/src/report/mod.rs
@@ -0,0 +1,8 @@
+//! Replies as text for people.
+
+mod answer;
+mod hosts;
+
+pub use answer::answer;
+pub use answer::receipt;
+pub use hosts::hosts;
--- /dev/null
+++ b/crates/host/src/front/mod.rs
@@ -0,0 +1,9 @@
+//! The HTTP sides of a host: callers and operators.
+
+mod callers;
+mod operators;
+mod reply;
+
+pub use callers::handle_caller;
+pub use operators::handle_operator;
+pub use reply::refuse_body;
--- /dev/null
+++ b/crates/host/src/front/operators.rs
@@ -0,0 +1,71 @@
+//! Requests of operators.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use galenaloft_http::Reply;
+use galenaloft_http::json;
+use galenaloft_http::text;
+use galenaloft_operator::DRAIN_PATH;
+use galenaloft_operator::EXPLAIN_PATH;
+use galenaloft_operator::METRICS_PATH;
+use galenaloft_operator::READY_PATH;
+use galenaloft_operator::STATUS_PATH;
+use galenaloft_operator::wire::Explanation;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use serde::Serialize;
+
+use crate::edges::Edges;
+use crate::node::Node;
+
+/// Answers one request of an operator.
+pub async fn handle_operator<E: Edges>(node: Arc<Node<E>>, req: Request<Bytes>) -> Reply {
+    let path = req.uri().path();
+    match (req.method(), path) {
+        (&Method::GET, READY_PATH) => ready(&node),
+        (&Method::GET, STATUS_PATH) => message(&node.status()),
+        (&Method::GET, METRICS_PATH) => text(StatusCode::OK, node.metrics.encode()),
+        (&Method::POST, DRAIN_PATH) => drain(&node),
+        (&Method::GET, _) if path.starts_with(EXPLAIN_PATH) => {
+            explain(&node, &path[EXPLAIN_PATH.len()..])
+        }
+        (method, _) => text(
+            StatusCode::NOT_FOUND,
+            format!("there is no {method} {path}\n"),
+        ),
+    }
+}
+
+fn ready<E: Edges>(node: &Node<E>) -> Reply {
+    match node.is_ready() {
+        true => text(StatusCode::OK, "ready\n"),
+        false => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+    }
+}
+
+fn drain<E: Edges>(node: &Node<E>) -> Reply {
+    match node.start_drain() {
+        true => text(StatusCode::ACCEPTED, "draining\n"),
+        false => text(StatusCode::ACCEPTED, "already draining\n"),
+    }
+}
+
+fn explain<E: Edges>(node: &Node<E>, request_id: &str) -> Reply {
+    match node.explain.get(request_id) {
+        Some(decisions) => message(&Explanation {
+            request_id: request_id.to_owned(),
+            decisions,
+        }),
+        None => text(
+            StatusCode::NOT_FOUND,
+            format!("request `{request_id}` is not remembered here\n"),
+        ),
+    }
+}
+
+fn message(body: &impl Serialize) -> Reply {
+    let body = serde_json::to_vec(body).expect("generated messages are always valid JSON");
+    json(StatusCode::OK, body)
+}
--- /dev/null
+++ b/crates/host/src/front/reply.rs
@@ -0,0 +1,72 @@
+//! Replies to callers.
+
+use std::time::Duration;
+
+use galenaloft_caller::RETRY_AFTER_MS_HEADER;
+use galenaloft_caller::VERDICT_HEADER;
+use galenaloft_caller::wire;
+use galenaloft_http::Reply;
+use galenaloft_http::json;
+use galenaloft_policy::verdict::Verdict;
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use serde::Serialize;
+
+/// Builds a reply with its verdict in the header too.
+pub fn reply(status: u16, verdict: Verdict, body: &impl Serialize) -> Reply {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let body = serde_json::to_vec(body).expect("generated messages are always valid JSON");
+    let mut reply = json(status, body);
+    let name = wire_verdict(verdict).as_str_name();
+    reply
+        .headers_mut()
+        .insert(VERDICT_HEADER, HeaderValue::from_static(name));
+    reply
+}
+
+/// Builds a failure.
+pub fn failure(status: u16, verdict: Verdict, error: &str, retry_after: Duration) -> Reply {
+    failure_with_ticket(status, verdict, error, retry_after, String::new())
+}
+
+/// Builds a failure that carries a fresh ticket.
+pub fn failure_with_ticket(
+    status: u16,
+    verdict: Verdict,
+    error: &str,
+    retry_after: Duration,
+    ticket: String,
+) -> Reply {
+    let retry_after_ms = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
+    let body = wire::Failure {
+        verdict: wire_verdict(verdict).into(),
+        error: error.to_owned(),
+        retry_after_ms,
+        ticket,
+    };
+    let mut reply = reply(status, verdict, &body);
+    if retry_after_ms > 0 {
+        let headers = reply.headers_mut();
+        headers.insert(RETRY_AFTER_MS_HEADER, HeaderValue::from(retry_after_ms));
+        headers.insert(
+            RETRY_AFTER,
+            HeaderValue::from(retry_after_ms.div_ceil(1_000)),
+        );
+    }
+    reply
+}
+
+/// Builds the reply to a request whose body was refused before it was read whole.
+pub fn refuse_body(status: StatusCode, why: &str) -> Reply {
+    failure(status.as_u16(), Verdict::NotRun, why, Duration::ZERO)
+}
+
+/// Returns the wire form of a verdict.
+pub fn wire_verdict(verdict: Verdict) -> wire::Verdict {
+    match verdict {
+        Verdict::Ran => wire::Verdict::Ran,
+        Verdict::NotRun => wire::Verdict::NotRun,
+        Verdict::MayHaveRun => wire::Verdict::MayHaveRun,
+    }
+}
--- /dev/null
+++ b/crates/host/src/gather/fetch.rs
@@ -0,0 +1,58 @@
+//! Fetches: the one shard that holds the key.
+
+use galenaloft_policy::catalogue::CoverageCounter;
+use galenaloft_policy::catalogue::SnapshotSpec;
+use galenaloft_policy::catalogue::key_hash;
+
+use crate::clock::sleep_until;
+use crate::edges::Edges;
+use crate::gather::Gathered;
+use crate::gather::RequestError;
+use crate::gather::plan::Plan;
+use crate::gather::search::collection_of;
+use crate::node::Node;
+
+impl<E: Edges> Node<E> {
+    /// Fetches the entry whose key is the plan's text.
+    ///
+    /// The coverage is that of the key's shard: a complete answer without an entry proves that
+    /// the snapshot has none. An entry with another key is never returned.
+    pub(crate) async fn fetch(&self, plan: &Plan) -> Result<Gathered, RequestError> {
+        let none = || RequestError::NoSnapshot(plan.kind.collection.to_string());
+        let collection = collection_of(plan)?;
+        let id = self.snapshot_for(plan, collection).ok_or_else(none)?;
+        let shard = collection.snapshots[&id]
+            .shard_of(key_hash(&plan.text))
+            .ok_or_else(none)?;
+        let attempt = self.run_shard(plan, id, shard);
+        let result = tokio::select! {
+            biased;
+            result = attempt => result,
+            () = sleep_until(plan.deadline) => {
+                let why = "the deadline passed".to_owned();
+                return Err(RequestError::Failed(galenaloft_policy::verdict::Verdict::MayHaveRun, why));
+            }
+        };
+        let result = result.map_err(|e| RequestError::Failed(e.verdict, e.reason.to_string()))?;
+        let part = SnapshotSpec {
+            shards: vec![shard.clone()],
+        };
+        let mut counter = CoverageCounter::new(&part);
+        counter.cover(shard.id, result.documents);
+        let entries = result
+            .entries
+            .into_iter()
+            .filter(|entry| entry.key == plan.text);
+        let entries: Vec<_> = entries.take(1).collect();
+        Ok(Gathered {
+            request_id: plan.request_id.clone(),
+            snapshot: id,
+            coverage: counter.coverage(),
+            firms: counter.by_firm(),
+            missing: counter.missing(),
+            total_hits: entries.len() as u32,
+            entries,
+            revision: plan.revision,
+        })
+    }
+}
--- /dev/null
+++ b/crates/host/src/gather/kinds.rs
@@ -0,0 +1,100 @@
+//! What this host has seen of each kind of work.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use galenaloft_config::sheet::Kind;
+use galenaloft_operator::wire::KindStatus;
+use galenaloft_policy::ids::KindName;
+use galenaloft_policy::routing::HedgePolicy;
+use galenaloft_policy::routing::RetryBudget;
+use hdrhistogram::Histogram;
+
+use crate::sync::lock;
+
+/// State of one kind.
+#[derive(Debug)]
+pub struct KindState {
+    /// When to hedge.
+    pub hedge: HedgePolicy,
+    /// How much to retry.
+    pub retry: RetryBudget,
+    rank: u8,
+    answered: u32,
+    refused: u32,
+    incomplete: u32,
+    latency: Histogram<u32>,
+}
+
+impl KindState {
+    fn new(kind: &Kind, now: Instant) -> Self {
+        Self {
+            hedge: HedgePolicy::new(kind.extra_load, now),
+            retry: RetryBudget::new(kind.retries),
+            rank: kind.rank,
+            answered: 0,
+            refused: 0,
+            incomplete: 0,
+            latency: Histogram::new_with_max(600_000_000, 2).expect("a valid range"),
+        }
+    }
+
+    /// Counts an answer.
+    pub fn note_answer(&mut self, latency: Duration, complete: bool) {
+        self.answered += 1;
+        self.incomplete += u32::from(!complete);
+        self.latency
+            .saturating_record(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
+    }
+
+    /// Counts a refused or failed request.
+    pub fn note_refusal(&mut self) {
+        self.refused += 1;
+    }
+
+    fn status(&self, kind: &KindName) -> KindStatus {
+        let millis = |quantile| (self.latency.value_at_quantile(quantile) / 1_000) as u32;
+        KindStatus {
+            kind: kind.to_string(),
+            rank: u32::from(self.rank),
+            answered: self.answered,
+            refused: self.refused,
+            incomplete: self.incomplete,
+            p50_ms: millis(0.5),
+            p99_ms: millis(0.99),
+        }
+    }
+}
+
+/// State of every kind that was asked for.
+#[derive(Debug, Default)]
+pub struct KindTable {
+    kinds: Mutex<BTreeMap<KindName, Arc<Mutex<KindState>>>>,
+}
+
+impl KindTable {
+    /// Returns the state of a kind under the sheet's present terms.
+    pub fn get(&self, name: &KindName, kind: &Kind, now: Instant) -> Arc<Mutex<KindState>> {
+        let mut kinds = lock(&self.kinds);
+        let state = kinds
+            .entry(name.clone())
+            .or_insert_with(|| Arc::new(Mutex::new(KindState::new(kind, now))))
+            .clone();
+        let mut terms = lock(&state);
+        terms.hedge.set_ratio(kind.extra_load);
+        terms.rank = kind.rank;
+        drop(terms);
+        state
+    }
+
+    /// Returns the counters of every kind.
+    pub fn status(&self) -> Vec<KindStatus> {
+        lock(&self.kinds)
+            .iter()
+            .map(|(name, state)| lock(state).status(name))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/host/src/gather/mod.rs
@@ -0,0 +1,18 @@
+//! The gatherer's role: scattering a request over shards and merging what comes back.
+
+mod beliefs;
+mod error;
+mod explain;
+mod fetch;
+mod kinds;
+mod plan;
+mod route;
+mod search;
+mod shard;
+
+pub use beliefs::Beliefs;
+pub use error::RequestError;
+pub use explain::ExplainLog;
+pub use kinds::KindTable;
+pub use plan::Gathered;
+pub use plan::Query;
--- /dev/null
+++ b/crates/host/src/gossip/prober.rs
@@ -0,0 +1,148 @@
+//! One probe a period, direct and then through others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use galenaloft_peer::Probe;
+use galenaloft_policy::membership::Change;
+use galenaloft_policy::membership::HostFact;
+use galenaloft_policy::membership::HostState;
+use galenaloft_telemetry::log::Event;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+
+use crate::clock::now;
+use crate::edges::Edges;
+use crate::node::Node;
+use crate::publish::fetch_from_peer;
+use crate::sync::lock;
+
+/// How often one peer is probed.
+const PERIOD: Duration = Duration::from_millis(200);
+
+/// Longest wait for the reply to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Hosts through which a silent peer is probed again.
+const RELAYS: usize = 2;
+
+/// Probes one peer each period, for ever.
+pub async fn run_prober<E: Edges>(node: Arc<Node<E>>) {
+    let mut ticks = interval(PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut wants_all = true;
+    loop {
+        ticks.tick().await;
+        note_changes(lock(&node.members).expire(now()));
+        let Some(target) = lock(&node.members).next_probe() else {
+            continue;
+        };
+        if probe(&node, &target, wants_all).await {
+            wants_all = false;
+        }
+    }
+}
+
+/// Probes a peer, directly and then through others. Returns whether it replied itself.
+async fn probe<E: Edges>(node: &Arc<Node<E>>, target: &HostFact, wants_all: bool) -> bool {
+    if probe_directly(node, target, wants_all).await {
+        return true;
+    }
+    if target.state != HostState::Alive {
+        return false;
+    }
+    let relays = lock(&node.members).relays(&target.host, RELAYS);
+    let probes = relays
+        .iter()
+        .map(|relay| probe_through(node, relay, target));
+    if !join_all(probes).await.contains(&true) {
+        note_changes(lock(&node.members).suspect(&target.host, now()));
+    }
+    false
+}
+
+/// Probes a peer directly. Returns whether it replied.
+pub async fn probe_directly<E: Edges>(
+    node: &Arc<Node<E>>,
+    target: &HostFact,
+    wants_all: bool,
+) -> bool {
+    let probe = message(node, wants_all, false);
+    let reply = node
+        .links
+        .call(target.address, PROBE_TIMEOUT, |peer, cx| async move {
+            peer.probe(cx, probe).await
+        })
+        .await;
+    match reply {
+        Ok(reply) => {
+            learn(node, reply);
+            true
+        }
+        Err(_) => false,
+    }
+}
+
+async fn probe_through<E: Edges>(node: &Node<E>, relay: &HostFact, target: &HostFact) -> bool {
+    let target = target.clone();
+    let limit = PROBE_TIMEOUT * 2;
+    let call = node
+        .links
+        .call(relay.address, limit, |peer, cx| async move {
+            peer.probe_through(cx, target).await
+        });
+    call.await.unwrap_or(false)
+}
+
+/// Answers a peer's probe.
+pub fn answer_probe<E: Edges>(node: &Arc<Node<E>>, probe: Probe) -> Probe {
+    let wants_all = probe.wants_all;
+    learn(node, probe);
+    message(node, false, wants_all)
+}
+
+fn message<E: Edges>(node: &Node<E>, wants_all: bool, gives_all: bool) -> Probe {
+    let mut members = lock(&node.members);
+    let facts = if gives_all {
+        members.all_facts()
+    } else {
+        members.gossip()
+    };
+    Probe {
+        stamps: node.values.stamps(),
+        facts,
+        wants_all,
+    }
+}
+
+/// Learns from a probe or a reply, whose first fact is about its sender.
+fn learn<E: Edges>(node: &Arc<Node<E>>, probe: Probe) {
+    let sender = probe.facts.first().map(|fact| fact.address);
+    let present = now();
+    for fact in probe.facts {
+        note_changes(lock(&node.members).learn(fact, present));
+    }
+    let Some(sender) = sender else {
+        return;
+    };
+    for key in node.values.wanted(probe.stamps) {
+        let node = node.clone();
+        tokio::spawn(async move { fetch_from_peer(&node, sender, key).await });
+    }
+}
+
+fn note_changes(changes: impl IntoIterator<Item = Change>) {
+    for change in changes {
+        Event::new("host_changed")
+            .with("host", &change.host)
+            .with(
+                "old",
+                change
+                    .old
+                    .map_or("unknown".to_owned(), |old| format!("{old:?}")),
+            )
+            .with("new", format!("{:?}", change.new))
+            .info();
+    }
+}
--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,18 @@
+//! The tasks of one entry host: it gathers answers for callers and schedules searchers' slots.
+
+pub mod clock;
+pub mod edges;
+pub mod front;
+mod gather;
+mod gossip;
+mod node;
+mod owner;
+mod publish;
+mod submit;
+mod sync;
+
+pub use node::Identity;
+pub use node::Node;
+pub use node::Phase;
+pub use node::serve_peer;
+pub use node::serve_peers;
--- /dev/null
+++ b/crates/host/src/node/peer_service.rs
@@ -0,0 +1,126 @@
+//! Calls from other entry hosts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use galenaloft_peer::Peer;
+use galenaloft_peer::PeerRequest;
+use galenaloft_peer::PeerResponse;
+use galenaloft_peer::Probe;
+use galenaloft_peer::Published;
+use galenaloft_peer::PublishedKey;
+use galenaloft_peer::Submission;
+use galenaloft_peer::SubmissionReply;
+use galenaloft_peer::tarpc::ClientMessage;
+use galenaloft_peer::tarpc::Response;
+use galenaloft_peer::tarpc::Transport;
+use galenaloft_peer::tarpc::context::Context;
+use galenaloft_peer::tarpc::serde_transport;
+use galenaloft_peer::tarpc::server::BaseChannel;
+use galenaloft_peer::tarpc::server::Channel;
+use galenaloft_peer::tarpc::tokio_serde::formats::Bincode;
+use galenaloft_policy::attempt::AttemptFailure;
+use galenaloft_policy::attempt::AttemptRequest;
+use galenaloft_policy::attempt::FailureReason;
+use galenaloft_policy::attempt::ShardResult;
+use galenaloft_policy::membership::HostFact;
+use galenaloft_policy::revision::Stamp;
+use galenaloft_policy::ticket::Handover;
+use galenaloft_policy::ticket::StoredOutcome;
+use galenaloft_policy::ticket::Ticket;
+use tokio::net::TcpListener;
+
+use crate::clock::now;
+use crate::edges::Edges;
+use crate::gossip::answer_probe;
+use crate::gossip::probe_directly;
+use crate::node::Node;
+
+/// Pause after a failed accept, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Most calls that one peer has in progress; more wait in its connection.
+const MAX_CALLS: usize = 10_000;
+
+/// Accepts peers until the task is ended.
+pub async fn serve_peers<E: Edges>(listener: TcpListener, node: Arc<Node<E>>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        let transport = serde_transport::Transport::from((stream, Bincode::default()));
+        tokio::spawn(serve_peer(transport, node.clone()));
+    }
+}
+
+/// Serves one peer until it disconnects.
+pub async fn serve_peer<E, T>(transport: T, node: Arc<Node<E>>)
+where
+    E: Edges,
+    T: Transport<Response<PeerResponse>, ClientMessage<PeerRequest>> + Send + 'static,
+{
+    let calls = BaseChannel::with_defaults(transport)
+        .max_concurrent_requests(MAX_CALLS)
+        .execute(PeerService(node).serve());
+    calls
+        .for_each(|call| async {
+            tokio::spawn(call);
+        })
+        .await;
+}
+
+struct PeerService<E: Edges>(Arc<Node<E>>);
+
+impl<E: Edges> Clone for PeerService<E> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+impl<E: Edges> Peer for PeerService<E> {
+    async fn execute(self, _: Context, req: AttemptRequest) -> Result<ShardResult, AttemptFailure> {
+        let node = &self.0;
+        let layout = node.values.layout();
+        let spec = layout
+            .as_ref()
+            .and_then(|layout| layout.searchers.get(&req.searcher));
+        match spec {
+            Some(spec) => node.owner.execute(spec, req, now()).await,
+            None => Err(AttemptFailure::not_run(FailureReason::NoReplica)),
+        }
+    }
+
+    async fn submit(self, _: Context, submission: Submission) -> SubmissionReply {
+        let deadline = now() + submission.time_left;
+        self.0.submit_here(submission, deadline).await
+    }
+
+    async fn store_outcome(self, _: Context, ticket: Ticket, outcome: StoredOutcome) {
+        self.0.copies.keep(&ticket, outcome);
+    }
+
+    async fn find_outcome(self, _: Context, ticket: Ticket) -> Option<StoredOutcome> {
+        self.0.copies.get(&ticket)
+    }
+
+    async fn probe(self, _: Context, probe: Probe) -> Probe {
+        answer_probe(&self.0, probe)
+    }
+
+    async fn probe_through(self, _: Context, target: HostFact) -> bool {
+        probe_directly(&self.0, &target, false).await
+    }
+
+    async fn published(self, _: Context, key: PublishedKey, than: Stamp) -> Option<Published> {
+        self.0.values.newer(key, than)
+    }
+
+    async fn adopt(self, _: Context, handover: Handover) -> bool {
+        self.0.adopt(handover)
+    }
+}
--- /dev/null
+++ b/crates/host/src/owner/queue.rs
@@ -0,0 +1,259 @@
+//! The shared state of one searcher's queue.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use galenaloft_policy::attempt::AttemptFailure;
+use galenaloft_policy::attempt::AttemptRequest;
+use galenaloft_policy::attempt::FailureReason;
+use galenaloft_policy::attempt::ShardResult;
+use galenaloft_policy::catalogue::SearcherSpec;
+use galenaloft_policy::ids::AttemptId;
+use galenaloft_policy::ids::Rank;
+use galenaloft_policy::queue::Popped;
+use galenaloft_policy::queue::RankQueue;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::sync::lock;
+
+/// Most attempts that wait for one searcher.
+const CAPACITY: usize = 1_024;
+
+/// How long a searcher that refused a connection is left alone.
+const DOWN_PAUSE: Duration = Duration::from_millis(200);
+
+/// Weight of the newest run in the moving average of the service time.
+const SERVICE_WEIGHT: f64 = 0.1;
+
+/// Longest service time that is assumed, so that a searcher once slow is tried again.
+const MAX_SERVICE_GUESS: Duration = Duration::from_millis(20);
+
+/// Result of an attempt.
+pub type AttemptResult = Result<ShardResult, AttemptFailure>;
+
+/// Where the result of an attempt goes.
+pub type ResultSender = oneshot::Sender<AttemptResult>;
+
+/// An attempt that waits for a slot.
+#[derive(Debug)]
+pub struct Job {
+    /// What to send.
+    pub req: AttemptRequest,
+    /// When its result is useless.
+    pub deadline: Instant,
+    /// Where the result goes; closed when nobody wants it any more.
+    pub tx: ResultSender,
+}
+
+impl Job {
+    /// Ends the job as not run.
+    pub fn refuse(self, reason: FailureReason) {
+        // The receiver may be gone, which is no loss.
+        let _ = self.tx.send(Err(AttemptFailure::not_run(reason)));
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    waiting: RankQueue<Job>,
+    running: u32,
+    draining: bool,
+    closed: bool,
+    down_until: Option<Instant>,
+    service: Duration,
+    used: Instant,
+}
+
+/// The queue of one searcher, shared by its slots, its control connection and the registry.
+#[derive(Debug)]
+pub struct SearcherQueue {
+    /// The searcher.
+    pub spec: SearcherSpec,
+    /// Attempts to cancel at the searcher.
+    pub cancels: mpsc::UnboundedSender<AttemptId>,
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+impl SearcherQueue {
+    /// Creates an empty queue.
+    pub fn new(
+        spec: SearcherSpec,
+        floors: &BTreeMap<Rank, f64>,
+        cancels: mpsc::UnboundedSender<AttemptId>,
+        now: Instant,
+    ) -> Self {
+        let mut waiting = RankQueue::new(CAPACITY);
+        for (rank, floor) in floors {
+            waiting.set_floor(*rank, *floor);
+        }
+        let state = State {
+            waiting,
+            running: 0,
+            draining: false,
+            closed: false,
+            down_until: None,
+            service: Duration::ZERO,
+            used: now,
+        };
+        Self {
+            spec,
+            cancels,
+            state: Mutex::new(state),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Adds a job, or ends it at once when it cannot be taken.
+    pub fn push(&self, job: Job, now: Instant) {
+        let mut state = self.lock();
+        state.used = now;
+        if state.draining || state.closed {
+            drop(state);
+            return job.refuse(FailureReason::Draining);
+        }
+        let (rank, deadline) = (job.req.rank, job.deadline);
+        let displaced = match state.waiting.push(job, rank, deadline) {
+            Ok(displaced) => displaced,
+            Err(job) => Some(job),
+        };
+        drop(state);
+        self.changed.notify_one();
+        if let Some(job) = displaced {
+            job.refuse(FailureReason::QueueFull);
+        }
+    }
+
+    /// Waits for the next job that is still wanted; `None` once the queue is closed.
+    pub async fn next(&self) -> Option<Job> {
+        loop {
+            let changed = self.changed.notified();
+            let now = crate::clock::now();
+            match self.pop(now) {
+                Next::Run(job) => return Some(job),
+                Next::Closed => return None,
+                Next::Empty => changed.await,
+            }
+        }
+    }
+
+    /// Notes the end of a run and its service time, if it ran.
+    pub fn note_end(&self, service: Option<Duration>) {
+        let mut state = self.lock();
+        state.running -= 1;
+        if let Some(service) = service {
+            let average = state.service.as_secs_f64();
+            let average = average + SERVICE_WEIGHT * (service.as_secs_f64() - average);
+            state.service = Duration::from_secs_f64(average).min(MAX_SERVICE_GUESS);
+        }
+    }
+
+    /// Notes that the searcher refused a connection.
+    pub fn note_down(&self, now: Instant) {
+        self.lock().down_until = Some(now + DOWN_PAUSE);
+    }
+
+    /// Sets whether the searcher is leaving; what waits is then ended as not run.
+    pub fn set_draining(&self, draining: bool) -> bool {
+        let mut state = self.lock();
+        let changed = state.draining != draining;
+        state.draining = draining;
+        let jobs = if draining {
+            state.waiting.remove_where(|_| true)
+        } else {
+            Vec::new()
+        };
+        drop(state);
+        jobs.into_iter()
+            .for_each(|job| job.refuse(FailureReason::Draining));
+        changed
+    }
+
+    /// Sets the floors of the ranks.
+    pub fn set_floors(&self, floors: &BTreeMap<Rank, f64>) {
+        let mut state = self.lock();
+        for (rank, floor) in floors {
+            state.waiting.set_floor(*rank, *floor);
+        }
+    }
+
+    /// Closes the queue if nobody used it since `since`. Returns whether it is closed.
+    pub fn close_if_idle(&self, since: Instant) -> bool {
+        let mut state = self.lock();
+        let idle = state.used < since && state.running == 0 && state.waiting.is_empty();
+        state.closed |= idle;
+        let closed = state.closed;
+        drop(state);
+        if closed {
+            self.changed.notify_waiters();
+        }
+        closed
+    }
+
+    /// Ends everything that waits as not run and closes the queue.
+    pub fn close(&self) {
+        let mut state = self.lock();
+        state.closed = true;
+        let jobs = state.waiting.remove_where(|_| true);
+        drop(state);
+        self.changed.notify_waiters();
+        jobs.into_iter()
+            .for_each(|job| job.refuse(FailureReason::Draining));
+    }
+
+    /// Returns waiting and running attempts, and whether the searcher is leaving.
+    pub fn load(&self) -> (usize, u32, bool) {
+        let state = self.lock();
+        (state.waiting.len(), state.running, state.draining)
+    }
+
+    fn pop(&self, now: Instant) -> Next {
+        let mut refused = Vec::new();
+        let next = self.pop_wanted(now, &mut refused);
+        for (job, reason) in refused {
+            job.refuse(reason);
+        }
+        next
+    }
+
+    fn pop_wanted(&self, now: Instant, refused: &mut Vec<(Job, FailureReason)>) -> Next {
+        let mut state = self.lock();
+        if state.closed {
+            return Next::Closed;
+        }
+        let down = state.down_until.is_some_and(|until| now < until);
+        let service = state.service;
+        loop {
+            match state.waiting.pop(now, service) {
+                None => return Next::Empty,
+                Some(Popped::Expired(job)) => refused.push((job, FailureReason::Expired)),
+                Some(Popped::Ready(job)) if job.tx.is_closed() => {}
+                Some(Popped::Ready(job)) if down => {
+                    refused.push((job, FailureReason::ConnectFailed));
+                }
+                Some(Popped::Ready(job)) => {
+                    state.running += 1;
+                    if !state.waiting.is_empty() {
+                        self.changed.notify_one();
+                    }
+                    return Next::Run(job);
+                }
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+}
+
+enum Next {
+    Run(Job),
+    Empty,
+    Closed,
+}
--- /dev/null
+++ b/crates/host/src/publish/watcher.rs
@@ -0,0 +1,209 @@
+//! Keeping the published values up to date from the platform and from peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use galenaloft_peer::PublishedKey;
+use galenaloft_platform::LAYOUT_KEY;
+use galenaloft_platform::SHEET_KEY;
+use galenaloft_platform::Watched;
+use galenaloft_platform::wire::HostState as ListedState;
+use galenaloft_platform::wire::ListedHost;
+use galenaloft_platform::wire::Role;
+use galenaloft_policy::membership::HostFact;
+use galenaloft_policy::membership::HostState;
+use galenaloft_policy::revision::Stamp;
+use galenaloft_policy::routing::ranking;
+use rand::RngExt;
+use tokio::time::sleep;
+
+use crate::clock::now;
+use crate::edges::Edges;
+use crate::edges::PlatformLink;
+use crate::node::Node;
+use crate::publish::Alarm;
+use crate::sync::lock;
+
+/// How long one watch waits at the platform.
+const WATCH: Duration = Duration::from_secs(20);
+
+/// Pause after the platform could not be reached, before a random part is added.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+
+/// Greatest random part of a pause, so that hosts do not return to the platform together.
+const JITTER: Duration = Duration::from_secs(1);
+
+/// How often a host that does not watch reads a value itself.
+const POLL: Duration = Duration::from_secs(30);
+
+/// How often the host list is read.
+const HOST_LIST_PERIOD: Duration = Duration::from_secs(1);
+
+/// Hosts of each availability zone that watch a value; the others learn it from them.
+const WATCHERS_PER_ZONE: usize = 2;
+
+/// Longest wait for a value from a peer.
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Returns the platform's name of a key.
+fn name_of(key: PublishedKey) -> &'static str {
+    match key {
+        PublishedKey::Sheet => SHEET_KEY,
+        PublishedKey::Layout => LAYOUT_KEY,
+    }
+}
+
+/// Watches one key of the platform as long as this host is one of its zone's watchers, and reads
+/// it now and then otherwise.
+pub async fn run_watcher<E: Edges>(node: Arc<Node<E>>, key: PublishedKey) {
+    loop {
+        let watches = is_watcher(&node, key);
+        let wait = if watches { WATCH } else { Duration::ZERO };
+        let reached = read_platform(&node, key, wait).await;
+        let pause = match (reached, watches) {
+            (true, true) => Duration::ZERO,
+            (true, false) => POLL + jitter(),
+            (false, _) => RETRY_PAUSE + jitter(),
+        };
+        sleep(pause).await;
+    }
+}
+
+/// Reads one key once. Returns whether the platform was reached.
+async fn read_platform<E: Edges>(node: &Node<E>, key: PublishedKey, wait: Duration) -> bool {
+    let stamps = node.values.stamps();
+    let revision = match key {
+        PublishedKey::Sheet => stamps.sheet.revision,
+        PublishedKey::Layout => stamps.layout.revision,
+    };
+    // The version in force is asked for as well now and then, so that a second text under it is
+    // seen.
+    let after = if wait.is_zero() {
+        revision.saturating_sub(1)
+    } else {
+        revision
+    };
+    let offered = match node.platform.watch(name_of(key), after, wait).await {
+        Ok(Watched::Value(value)) => {
+            node.offer(key, value.version, &value.value);
+            value.version
+        }
+        Ok(Watched::Unchanged(version)) => version,
+        Err(e) => {
+            node.alarms
+                .raise(Alarm::PlatformUnreachable, &e.to_string());
+            return false;
+        }
+    };
+    node.alarms.clear(Alarm::PlatformUnreachable);
+    if offered < revision {
+        let name = name_of(key);
+        let reason = format!("{name} version {revision} is in force, the platform has {offered}");
+        node.alarms.raise(Alarm::PlatformBehind, &reason);
+    } else {
+        node.alarms.clear(Alarm::PlatformBehind);
+    }
+    true
+}
+
+fn is_watcher<E: Edges>(node: &Node<E>, key: PublishedKey) -> bool {
+    let members = lock(&node.members);
+    let zone = &node.settings.zone;
+    let hosts = members
+        .working()
+        .filter(|fact| fact.zone == *zone)
+        .map(|fact| &fact.host);
+    let ranked = ranking(name_of(key), hosts);
+    ranked
+        .iter()
+        .take(WATCHERS_PER_ZONE)
+        .any(|host| **host == node.settings.host)
+}
+
+/// Asks the platform and every known peer for both values until both are known, before the host
+/// reports ready.
+pub async fn fetch_at_start<E: Edges>(node: &Arc<Node<E>>) {
+    loop {
+        refresh(node).await;
+        if node.values.sheet().is_some() && node.values.layout().is_some() {
+            return;
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Asks the platform and every known peer once for both values, all at the same time.
+pub async fn refresh<E: Edges>(node: &Arc<Node<E>>) {
+    read_host_list(node).await;
+    let keys = [PublishedKey::Sheet, PublishedKey::Layout];
+    let platform = keys.map(|key| read_platform(node, key, Duration::ZERO));
+    let addresses = node.peer_addresses();
+    let pairs = addresses
+        .iter()
+        .flat_map(|address| keys.map(|key| (*address, key)));
+    let peers = pairs.map(|(address, key)| fetch_from_peer(node, address, key));
+    tokio::join!(join_all(platform), join_all(peers));
+}
+
+/// Fetches a value from a peer that has a greater one.
+pub async fn fetch_from_peer<E: Edges>(node: &Node<E>, address: SocketAddr, key: PublishedKey) {
+    let stamps = node.values.stamps();
+    let than: Stamp = match key {
+        PublishedKey::Sheet => stamps.sheet,
+        PublishedKey::Layout => stamps.layout,
+    };
+    let published = node
+        .links
+        .call(address, PEER_TIMEOUT, |peer, cx| async move {
+            peer.published(cx, key, than).await
+        })
+        .await;
+    if let Ok(Some(published)) = published {
+        node.offer(key, published.revision, &published.text);
+    }
+}
+
+/// Reads the host list now and then.
+pub async fn run_host_list<E: Edges>(node: Arc<Node<E>>) {
+    loop {
+        read_host_list(&node).await;
+        sleep(HOST_LIST_PERIOD + jitter() / 10).await;
+    }
+}
+
+async fn read_host_list<E: Edges>(node: &Node<E>) {
+    let Ok(list) = node.platform.hosts().await else {
+        return;
+    };
+    for listed in list.hosts {
+        match listed.role() {
+            Role::EntryHost => learn_entry_host(node, &listed),
+            Role::Searcher if listed.state() == ListedState::Leaving => {
+                node.note_leaving(&listed.id.as_str().into());
+            }
+            Role::Searcher | Role::Unspecified => {}
+        }
+    }
+}
+
+fn learn_entry_host<E: Edges>(node: &Node<E>, listed: &ListedHost) {
+    let Ok(address) = listed.address.parse() else {
+        return;
+    };
+    let fact = HostFact {
+        host: listed.id.as_str().into(),
+        zone: listed.zone.as_str().into(),
+        address,
+        incarnation: 0,
+        generation: 0,
+        state: HostState::Suspect,
+        adopted: Vec::new(),
+    };
+    lock(&node.members).learn_listed(fact, now());
+}
+
+fn jitter() -> Duration {
+    JITTER.mul_f64(rand::rng().random::<f64>())
+}
--- /dev/null
+++ b/crates/host/src/submit/mod.rs
@@ -0,0 +1,7 @@
+//! Filings and reservations: run by the holder of their ticket, at most once.
+
+mod copies;
+mod handover;
+mod run;
+
+pub use copies::OutcomeCopies;
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,17 @@
+//! Bounded HTTP/1.1 on both sides: a server with limits and a client of one connection.
+
+mod client;
+mod error;
+mod respond;
+mod server;
+
+pub use client::Connection;
+pub use error::HttpError;
+pub use respond::Reply;
+pub use respond::json;
+pub use respond::text;
+pub use server::Limits;
+pub use server::Server;
+
+/// Version of the HTTP types that this package speaks.
+pub use hyper;
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,172 @@
+//! A server that bounds connections, heads, bodies and the time they take.
+
+use std::convert::Infallible;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::respond::Reply;
+use crate::respond::text;
+
+/// Most headers of a request.
+const MAX_HEADERS: usize = 64;
+
+/// Largest head of a request, in bytes.
+const MAX_HEAD: usize = 16 * 1024;
+
+/// Pause after a failed accept, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Bounds on what clients may take up.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Open connections; a further one is closed at once.
+    pub connections: usize,
+    /// Size of a body, in bytes.
+    pub body: usize,
+    /// Time for a head, and again for a body, to arrive.
+    pub read_timeout: Duration,
+}
+
+/// Builds the reply to a request whose body was refused.
+pub type RefuseBody = fn(StatusCode, &str) -> Reply;
+
+/// Serves HTTP/1.1 on one listener.
+#[derive(Debug)]
+pub struct Server {
+    listener: TcpListener,
+    limits: Limits,
+    refuse: RefuseBody,
+}
+
+impl Server {
+    /// Creates a server; `refuse` builds the reply to a request whose body is refused.
+    pub fn new(listener: TcpListener, limits: Limits, refuse: RefuseBody) -> Self {
+        Self {
+            listener,
+            limits,
+            refuse,
+        }
+    }
+
+    /// Creates a server that refuses in plain text.
+    pub fn plain(listener: TcpListener, limits: Limits) -> Self {
+        Self::new(listener, limits, |status, why| text(status, why))
+    }
+
+    /// Accepts connections until `stop` turns true, then waits until running requests have ended.
+    pub async fn serve<H, F>(self, handler: H, mut stop: watch::Receiver<bool>)
+    where
+        H: Fn(Request<Bytes>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Reply> + Send + 'static,
+    {
+        let permits = Arc::new(Semaphore::new(self.limits.connections));
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                _ = stop.wait_for(|stopping| *stopping) => break,
+            };
+            let stream = match accepted {
+                Ok((stream, _)) => stream,
+                Err(_) => {
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            let Ok(permit) = permits.clone().try_acquire_owned() else {
+                continue;
+            };
+            let connection = serve_connection(
+                stream,
+                self.limits.clone(),
+                self.refuse,
+                handler.clone(),
+                stop.clone(),
+            );
+            tokio::spawn(async move {
+                // A broken connection concerns its client only.
+                let _ = connection.await;
+                drop(permit);
+            });
+        }
+        drop(self.listener);
+        let all = u32::try_from(self.limits.connections).unwrap_or(u32::MAX);
+        // The semaphore is never closed, so this only waits.
+        let _ = permits.acquire_many(all).await;
+    }
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    limits: Limits,
+    refuse: RefuseBody,
+    handler: H,
+    mut stop: watch::Receiver<bool>,
+) -> io::Result<()>
+where
+    H: Fn(Request<Bytes>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    stream.set_nodelay(true)?;
+    let (body_limit, read_timeout) = (limits.body, limits.read_timeout);
+    let service = service_fn(move |req: Request<Incoming>| {
+        let handler = handler.clone();
+        async move {
+            let reply = match read_body(req, body_limit, read_timeout).await {
+                Ok(req) => handler(req).await,
+                Err((status, why)) => refuse(status, &why),
+            };
+            Ok::<Reply, Infallible>(reply)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(read_timeout)
+        .max_headers(MAX_HEADERS)
+        .max_buf_size(MAX_HEAD)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        result = &mut connection => return result.map_err(io::Error::other),
+        _ = stop.wait_for(|stopping| *stopping) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    connection.await.map_err(io::Error::other)
+}
+
+async fn read_body(
+    req: Request<Incoming>,
+    limit: usize,
+    read_timeout: Duration,
+) -> Result<Request<Bytes>, (StatusCode, String)> {
+    let (head, body) = req.into_parts();
+    let collected = timeout(read_timeout, Limited::new(body, limit).collect()).await;
+    let collected = collected.map_err(|_| {
+        let why = format!("the body did not arrive within {read_timeout:?}");
+        (StatusCode::REQUEST_TIMEOUT, why)
+    })?;
+    match collected {
+        Ok(body) => Ok(Request::from_parts(head, body.to_bytes())),
+        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err((
+            StatusCode::PAYLOAD_TOO_LARGE,
+            format!("the body exceeds {limit} bytes"),
+        )),
+        Err(e) => Err((StatusCode::BAD_REQUEST, format!("the body is broken: {e}"))),
+    }
+}
--- /dev/null
+++ b/crates/policy/src/membership/mod.rs
@@ -0,0 +1,11 @@
+//! Which entry hosts are alive, by probes and gossip.
+
+mod fact;
+mod table;
+#[cfg(test)]
+mod tests;
+
+pub use fact::HostFact;
+pub use fact::HostState;
+pub use table::Change;
+pub use table::MemberTable;
--- /dev/null
+++ b/crates/policy/src/membership/tests.rs
@@ -0,0 +1,77 @@
+use std::time::Duration;
+use std::time::Instant;
+
+use quickcheck::quickcheck;
+
+use super::*;
+
+fn fact(host: u8, generation: u64, state: HostState) -> HostFact {
+    HostFact {
+        host: format!("h{host}").into(),
+        zone: "a".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        incarnation: u64::from(host),
+        generation,
+        state,
+        adopted: Vec::new(),
+    }
+}
+
+fn state(n: u8) -> HostState {
+    let states = [
+        HostState::Alive,
+        HostState::Suspect,
+        HostState::Dead,
+        HostState::Leaving,
+    ];
+    states[usize::from(n) % 4]
+}
+
+#[test]
+fn a_suspected_host_refutes_or_dies() {
+    let now = Instant::now();
+    let mut one = MemberTable::new(fact(1, 1, HostState::Alive));
+    let mut two = MemberTable::new(fact(2, 1, HostState::Alive));
+    one.learn(two.own().clone(), now);
+    one.suspect(&"h2".into(), now);
+    for suspicion in one.gossip() {
+        two.learn(suspicion, now);
+    }
+    assert_eq!(two.own().generation, 2);
+    one.learn(two.own().clone(), now);
+    assert_eq!(one.get("h2").unwrap().state, HostState::Alive);
+    one.suspect(&"h2".into(), now);
+    let later = now + Duration::from_secs(2);
+    let died = Change {
+        host: "h2".into(),
+        old: Some(HostState::Suspect),
+        new: HostState::Dead,
+    };
+    assert_eq!(one.expire(later), vec![died]);
+    assert_eq!(one.working().count(), 1);
+}
+
+#[test]
+fn the_platform_list_neither_kills_nor_revives() {
+    let now = Instant::now();
+    let mut table = MemberTable::new(fact(1, 1, HostState::Alive));
+    table.learn(fact(2, 5, HostState::Dead), now);
+    table.learn_listed(fact(2, 0, HostState::Alive), now);
+    assert_eq!(table.get("h2").unwrap().state, HostState::Dead);
+}
+
+quickcheck! {
+    fn gossip_in_any_order_converges(facts: Vec<(u8, u8, u8)>, turn: usize) -> bool {
+        let now = Instant::now();
+        let facts: Vec<HostFact> = facts
+            .into_iter()
+            .map(|(host, generation, s)| fact(host % 4 + 2, u64::from(generation), state(s)))
+            .collect();
+        let turn = turn % (facts.len() + 1);
+        let mut one = MemberTable::new(fact(1, 1, HostState::Alive));
+        let mut two = MemberTable::new(fact(1, 1, HostState::Alive));
+        facts.iter().for_each(|f| drop(one.learn(f.clone(), now)));
+        facts[turn..].iter().chain(&facts[..turn]).for_each(|f| drop(two.learn(f.clone(), now)));
+        one.all_facts() == two.all_facts()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/queue/mod.rs
@@ -0,0 +1,8 @@
+//! The waiting work of one searcher.
+
+mod rank_queue;
+#[cfg(test)]
+mod tests;
+
+pub use rank_queue::Popped;
+pub use rank_queue::RankQueue;
--- /dev/null
+++ b/crates/policy/src/revision/in_force.rs
@@ -0,0 +1,102 @@
+//! The value in force: the greatest valid one ever seen.
+
+use std::sync::Arc;
+
+use crate::revision::Stamp;
+
+/// What became of an offered value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Offer {
+    /// It is in force now.
+    Adopted,
+    /// It is in force already.
+    Known,
+    /// It is older than the one in force.
+    Older,
+    /// It was adopted or refused under a version that has two texts.
+    Conflict {
+        /// Whether the offered text is the one in force now.
+        adopted: bool,
+    },
+    /// It is invalid; the old one stays in force.
+    Invalid(String),
+}
+
+/// A value of type `T` with the text that it was read from.
+#[derive(Debug)]
+pub struct InForce<T> {
+    stamp: Stamp,
+    text: Arc<str>,
+    value: Option<Arc<T>>,
+    refused: Stamp,
+}
+
+impl<T> Default for InForce<T> {
+    fn default() -> Self {
+        Self {
+            stamp: Stamp::default(),
+            text: "".into(),
+            value: None,
+            refused: Stamp::default(),
+        }
+    }
+}
+
+impl<T> InForce<T> {
+    /// Offers a text; it comes into force whole when it is valid and greater than the present one.
+    pub fn offer(
+        &mut self,
+        revision: u32,
+        text: &str,
+        parse: impl FnOnce(&str) -> Result<T, String>,
+    ) -> Offer {
+        let stamp = Stamp::new(revision, text);
+        if stamp == self.stamp {
+            return Offer::Known;
+        }
+        let conflict = revision == self.stamp.revision;
+        if stamp < self.stamp {
+            return if conflict {
+                Offer::Conflict { adopted: false }
+            } else {
+                Offer::Older
+            };
+        }
+        match parse(text) {
+            Ok(value) => {
+                self.stamp = stamp;
+                self.text = text.into();
+                self.value = Some(Arc::new(value));
+                if conflict {
+                    Offer::Conflict { adopted: true }
+                } else {
+                    Offer::Adopted
+                }
+            }
+            Err(why) => {
+                self.refused = self.refused.max(stamp);
+                Offer::Invalid(why)
+            }
+        }
+    }
+
+    /// Returns the value in force, or `None` before the first one.
+    pub fn value(&self) -> Option<Arc<T>> {
+        self.value.clone()
+    }
+
+    /// Returns the stamp of the value in force.
+    pub fn stamp(&self) -> Stamp {
+        self.stamp
+    }
+
+    /// Returns the text of the value in force.
+    pub fn text(&self) -> Arc<str> {
+        self.text.clone()
+    }
+
+    /// Returns whether a value with this stamp is worth fetching.
+    pub fn wants(&self, stamp: Stamp) -> bool {
+        stamp > self.stamp && stamp > self.refused
+    }
+}
--- /dev/null
+++ b/crates/policy/src/revision/tests.rs
@@ -0,0 +1,47 @@
+use quickcheck::quickcheck;
+
+use super::InForce;
+use super::Offer;
+use super::Stamp;
+
+fn parse(text: &str) -> Result<String, String> {
+    match text.starts_with('!') {
+        true => Err("invalid".to_owned()),
+        false => Ok(text.to_owned()),
+    }
+}
+
+#[test]
+fn an_invalid_value_leaves_the_old_one_in_force() {
+    let mut in_force = InForce::default();
+    assert_eq!(in_force.offer(4, "four", parse), Offer::Adopted);
+    assert_eq!(
+        in_force.offer(5, "!five", parse),
+        Offer::Invalid("invalid".to_owned())
+    );
+    assert_eq!(in_force.value().as_deref(), Some(&"four".to_owned()));
+    assert!(!in_force.wants(Stamp::new(5, "!five")));
+    assert_eq!(in_force.offer(3, "three", parse), Offer::Older);
+    assert_eq!(in_force.offer(6, "six", parse), Offer::Adopted);
+}
+
+quickcheck! {
+    fn any_order_of_offers_ends_alike_and_never_reverts(offers: Vec<(u8, u8)>, turn: usize) -> bool {
+        let text = |n: u8| if n.is_multiple_of(5) { format!("!{n}") } else { n.to_string() };
+        let mut one = InForce::default();
+        let mut other = InForce::default();
+        let mut last = Stamp::default();
+        for &(revision, n) in &offers {
+            one.offer(u32::from(revision % 8), &text(n), parse);
+            if one.stamp() < last {
+                return false;
+            }
+            last = one.stamp();
+        }
+        let turn = turn % (offers.len() + 1);
+        for &(revision, n) in offers[turn..].iter().chain(&offers[..turn]) {
+            other.offer(u32::from(revision % 8), &text(n), parse);
+        }
+        one.stamp() == other.stamp()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/routing/ownership.rs
@@ -0,0 +1,26 @@
+//! Rendezvous hashing of searchers over the live entry hosts.
+
+use std::cmp::Reverse;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::HostId;
+
+/// Returns the hosts in order of their claim to `item`: owner first, then the standby.
+pub fn ranking<'a>(item: &str, hosts: impl IntoIterator<Item = &'a HostId>) -> Vec<&'a HostId> {
+    let mut ranked: Vec<&HostId> = hosts.into_iter().collect();
+    ranked.sort_by_key(|host| Reverse((weight(item, host), *host)));
+    ranked
+}
+
+/// Returns the host that schedules `item`, or `None` without hosts.
+pub fn owner_of<'a>(item: &str, hosts: impl IntoIterator<Item = &'a HostId>) -> Option<&'a HostId> {
+    hosts
+        .into_iter()
+        .max_by_key(|host| (weight(item, host), *host))
+}
+
+fn weight(item: &str, host: &HostId) -> u64 {
+    let seed = xxh3_64_with_seed(host.as_bytes(), 0);
+    xxh3_64_with_seed(item.as_bytes(), seed)
+}
--- /dev/null
+++ b/crates/policy/src/routing/tests.rs
@@ -0,0 +1,73 @@
+use std::time::Duration;
+use std::time::Instant;
+
+use quickcheck::quickcheck;
+
+use super::*;
+use crate::ids::HostId;
+use crate::ids::SearcherId;
+
+fn hosts(count: u8) -> Vec<HostId> {
+    (0..count).map(|i| format!("h{i}").into()).collect()
+}
+
+quickcheck! {
+    fn losing_a_host_moves_only_its_searchers(count: u8, lost: u8, searcher: u16) -> bool {
+        let hosts = hosts(count % 30 + 2);
+        let lost = &hosts[usize::from(lost) % hosts.len()];
+        let item = format!("s-{searcher}");
+        let ranked = ranking(&item, &hosts);
+        let after = owner_of(&item, hosts.iter().filter(|h| *h != lost)).unwrap();
+        let expected = if ranked[0] == lost { ranked[1] } else { ranked[0] };
+        owner_of(&item, &hosts) == Some(ranked[0]) && after == expected
+    }
+
+    fn hedges_stay_inside_the_budget(attempts: Vec<bool>, percent: u8) -> bool {
+        let ratio = f64::from(percent % 20) / 100.0;
+        let mut policy = HedgePolicy::new(ratio, Instant::now());
+        let mut first = 0.0;
+        let mut hedged = 0.0;
+        for slow in attempts {
+            policy.note_first_attempt();
+            first += 1.0;
+            if slow && policy.spend() {
+                hedged += 1.0;
+            }
+        }
+        hedged <= first * ratio + 1e-6
+    }
+}
+
+#[test]
+fn a_failed_or_draining_replica_is_avoided_and_tried_again_later() {
+    let now = Instant::now();
+    let ids: [SearcherId; 2] = ["s-1".into(), "s-2".into()];
+    let replicas = || ids.iter().map(|id| (id, true));
+    let mut table = ReplicaTable::default();
+    table.note_failed(&ids[0], now);
+    assert_eq!(table.choose(replicas(), now), Some(&ids[1]));
+    table.note_draining(&ids[1], now);
+    assert_eq!(table.choose(replicas(), now), Some(&ids[0]));
+    table.note_draining(&ids[0], now);
+    assert_eq!(table.choose(replicas(), now), None);
+    assert!(
+        table
+            .choose(replicas(), now + Duration::from_secs(31))
+            .is_some()
+    );
+}
+
+#[test]
+fn a_hedge_waits_for_the_slow_quantile() {
+    let now = Instant::now();
+    let mut policy = HedgePolicy::new(0.05, now);
+    assert_eq!(policy.hedge_at(now), None);
+    for ms in 1..=100 {
+        policy.note_latency(Duration::from_millis(ms), now);
+    }
+    let wait = policy.hedge_at(now).unwrap() - now;
+    assert!(
+        wait > Duration::from_millis(90) && wait < Duration::from_millis(100),
+        "{wait:?}"
+    );
+}
--- /dev/null
+++ b/crates/policy/src/ticket/mod.rs
@@ -0,0 +1,15 @@
+//! Tickets: the right to run one non-idempotent request once, held by one process.
+
+mod id;
+mod outcome;
+mod table;
+#[cfg(test)]
+mod tests;
+
+pub use id::Ticket;
+pub use id::TicketKey;
+pub use id::TicketParseError;
+pub use outcome::StoredOutcome;
+pub use table::Begin;
+pub use table::Handover;
+pub use table::TicketTable;
--- /dev/null
+++ b/crates/policy/src/ticket/tests.rs
@@ -0,0 +1,124 @@
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::quickcheck;
+
+use super::*;
+use crate::verdict::Verdict;
+
+const LIFE: Duration = Duration::from_secs(60);
+
+fn table(incarnation: u64, now: Instant) -> TicketTable {
+    TicketTable::new(
+        "h1".into(),
+        incarnation,
+        TicketKey(incarnation, 7),
+        LIFE,
+        1_000,
+        now,
+    )
+}
+
+fn outcome(verdict: Verdict, digest: u64) -> StoredOutcome {
+    StoredOutcome {
+        verdict,
+        receipt: "r".to_owned(),
+        reason: String::new(),
+        digest,
+    }
+}
+
+#[test]
+fn a_ticket_survives_its_text_form() {
+    let ticket = table(9, Instant::now()).issue(Instant::now()).unwrap();
+    assert_eq!(ticket.to_string().parse(), Ok(ticket));
+    assert_eq!("h1.1.2.3".parse::<Ticket>(), Err(TicketParseError));
+    assert_eq!("h1.1.2.3.zz".parse::<Ticket>(), Err(TicketParseError));
+}
+
+#[test]
+fn a_forged_or_late_ticket_is_not_run() {
+    let now = Instant::now();
+    let mut table = table(9, now);
+    let ticket = table.issue(now).unwrap();
+    let forged = Ticket {
+        sequence: 2,
+        ..ticket.clone()
+    };
+    assert_eq!(table.begin(&forged, 1, now), Begin::Forged);
+    assert_eq!(table.begin(&ticket, 1, now + LIFE), Begin::Expired);
+    assert_eq!(table.begin(&ticket, 1, now), Begin::Run);
+    assert_eq!(table.begin(&ticket, 2, now), Begin::OtherRequest);
+}
+
+/// One step of the life of two tables between which rights move.
+#[derive(Debug, Clone)]
+enum Step {
+    Issue(bool),
+    Begin(bool, usize),
+    Finish(usize, u8),
+    HandOver(bool, bool),
+    Pass(u16),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let side = bool::arbitrary(g);
+        match u8::arbitrary(g) % 12 {
+            0 | 1 => Self::Issue(side),
+            2..=6 => Self::Begin(side, usize::arbitrary(g)),
+            7..=9 => Self::Finish(usize::arbitrary(g), u8::arbitrary(g)),
+            10 => Self::HandOver(side, bool::arbitrary(g)),
+            _ => Self::Pass(u16::arbitrary(g)),
+        }
+    }
+}
+
+quickcheck! {
+    fn a_ticket_runs_at_most_once(steps: Vec<Step>) -> bool {
+        let mut now = Instant::now();
+        let mut tables = [table(1, now), table(2, now)];
+        let mut tickets = Vec::new();
+        let mut sent = BTreeSet::new();
+        let mut running: Vec<(Ticket, usize)> = Vec::new();
+        for step in steps {
+            match step {
+                Step::Issue(side) => tickets.extend(tables[usize::from(side)].issue(now)),
+                Step::Begin(side, i) if !tickets.is_empty() => {
+                    let ticket: &Ticket = &tickets[i % tickets.len()];
+                    let side = usize::from(side);
+                    if tables[side].begin(ticket, 1, now) == Begin::Run {
+                        if !sent.insert(ticket.to_string()) {
+                            return false;
+                        }
+                        running.push((ticket.clone(), side));
+                    }
+                }
+                Step::Finish(i, verdict) if !running.is_empty() => {
+                    let (ticket, side) = running.swap_remove(i % running.len());
+                    let verdicts = [Verdict::Ran, Verdict::NotRun, Verdict::MayHaveRun];
+                    let verdict = verdicts[usize::from(verdict) % 3];
+                    tables[side].finish(&ticket, outcome(verdict, 1));
+                }
+                Step::HandOver(from, lost) => {
+                    let from = usize::from(from);
+                    for handover in tables[from].give_up(now) {
+                        if !lost {
+                            tables[1 - from].adopt(handover.clone(), now);
+                            tables[1 - from].adopt(handover, now);
+                        }
+                    }
+                }
+                Step::Pass(ms) => {
+                    now += Duration::from_millis(u64::from(ms));
+                    tables.iter_mut().for_each(|table| table.forget_expired(now));
+                }
+                Step::Begin(..) | Step::Finish(..) => {}
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/policy/src/verdict.rs
@@ -0,0 +1,27 @@
+//! Whether a request may have had an effect.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Whether a request may have run on a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It ran, and its result is known.
+    Ran,
+    /// It did not run and no queue can still run it.
+    NotRun,
+    /// It may have run; the result is lost or not yet known.
+    MayHaveRun,
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Ran => "ran",
+            Self::NotRun => "not-run",
+            Self::MayHaveRun => "may-have-run",
+        })
+    }
+}
--- /dev/null
+++ b/crates/searcher/src/convert.rs
@@ -0,0 +1,127 @@
+//! Conversion between wire messages and the decisions' types.
+
+use galenaloft_policy::attempt::AttemptFailure;
+use galenaloft_policy::attempt::AttemptRequest;
+use galenaloft_policy::attempt::FailureReason;
+use galenaloft_policy::attempt::Operation;
+use galenaloft_policy::attempt::ShardResult;
+use galenaloft_policy::catalogue::Entry;
+use galenaloft_policy::verdict::Verdict;
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use prost::Message;
+
+use crate::paths::BEGAN_HEADER;
+use crate::paths::CANCELLED_STATUS;
+use crate::wire;
+
+/// A reply that ran, and whether the searcher says that it is leaving.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RanReply {
+    /// The result.
+    pub result: ShardResult,
+    /// Whether the searcher takes no new work.
+    pub draining: bool,
+}
+
+/// Builds the wire form of an attempt.
+pub fn request_to_wire(req: &AttemptRequest) -> wire::ShardRequest {
+    let operation = match req.operation {
+        Operation::Search => wire::Operation::Search,
+        Operation::Fetch => wire::Operation::Fetch,
+        Operation::Submit => wire::Operation::Submit,
+    };
+    wire::ShardRequest {
+        attempt: req.attempt,
+        operation: operation.into(),
+        kind: req.kind.to_string(),
+        collection: req.collection.to_string(),
+        snapshot: req.snapshot,
+        shard: req.shard,
+        text: req.text.clone(),
+        limit: req.limit,
+        deadline_ms: u32::try_from(req.time_left.as_millis()).unwrap_or(u32::MAX),
+        body: req.body.clone(),
+    }
+}
+
+/// Reads the reply to an attempt: its result, or why there is none.
+///
+/// A reply that belongs to another attempt, snapshot or shard is an error, never a result.
+pub fn read_reply(
+    req: &AttemptRequest,
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> Result<RanReply, AttemptFailure> {
+    match status.as_u16() {
+        200 => read_result(req, body),
+        400 | 404 | 409 | 429 | 503 => Err(failure_of_refusal(req, body)),
+        CANCELLED_STATUS => {
+            let not_begun = headers
+                .get(BEGAN_HEADER)
+                .is_some_and(|value| value == "false");
+            let verdict = if not_begun {
+                Verdict::NotRun
+            } else {
+                Verdict::MayHaveRun
+            };
+            Err(AttemptFailure {
+                verdict,
+                reason: FailureReason::Cancelled,
+            })
+        }
+        other => Err(bad_reply(format!("status {other}"))),
+    }
+}
+
+/// Reads a refusal, after which the attempt has not run.
+pub fn failure_of_refusal(req: &AttemptRequest, body: &[u8]) -> AttemptFailure {
+    let reason = match wire::Refusal::decode(body) {
+        Ok(refusal) if refusal.attempt != req.attempt => {
+            return bad_reply(format!("refusal of attempt {:x}", refusal.attempt));
+        }
+        Ok(refusal) if refusal.draining => FailureReason::Draining,
+        Ok(refusal) if !refusal.held_snapshots.is_empty() => {
+            FailureReason::WrongSnapshot(refusal.held_snapshots)
+        }
+        Ok(refusal) => FailureReason::Refused(refusal.reason),
+        Err(_) => FailureReason::Refused("no readable reason".to_owned()),
+    };
+    AttemptFailure::not_run(reason)
+}
+
+fn read_result(req: &AttemptRequest, body: &[u8]) -> Result<RanReply, AttemptFailure> {
+    let reply = wire::ShardReply::decode(body).map_err(|e| bad_reply(e.to_string()))?;
+    if reply.attempt != req.attempt {
+        return Err(bad_reply(format!("reply to attempt {:x}", reply.attempt)));
+    }
+    if (reply.snapshot, reply.shard) != (req.snapshot, req.shard) {
+        let (snapshot, shard) = (reply.snapshot, reply.shard);
+        return Err(bad_reply(format!(
+            "reply of snapshot {snapshot}, shard {shard}"
+        )));
+    }
+    let entries = reply.entries.into_iter().map(|entry| Entry {
+        key: entry.key,
+        firm: entry.firm.into(),
+        title: entry.title,
+        score: entry.score,
+    });
+    let result = ShardResult {
+        snapshot: reply.snapshot,
+        shard: reply.shard,
+        documents: reply.documents,
+        total_hits: reply.total_hits,
+        entries: entries.collect(),
+        receipt: reply.receipt,
+    };
+    Ok(RanReply {
+        result,
+        draining: reply.draining,
+    })
+}
+
+fn bad_reply(why: String) -> AttemptFailure {
+    AttemptFailure::may_have_run(FailureReason::BadReply(why))
+}
--- /dev/null
+++ b/crates/searcher/src/tests.rs
@@ -0,0 +1,104 @@
+use std::time::Duration;
+
+use galenaloft_policy::attempt::AttemptRequest;
+use galenaloft_policy::attempt::FailureReason;
+use galenaloft_policy::attempt::Operation;
+use galenaloft_policy::verdict::Verdict;
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use prost::Message;
+use quickcheck::quickcheck;
+
+use crate::read_reply;
+use crate::wire;
+
+fn request() -> AttemptRequest {
+    AttemptRequest {
+        attempt: 7,
+        searcher: "s-1".into(),
+        operation: Operation::Submit,
+        kind: "file".into(),
+        rank: 1,
+        collection: "billing".into(),
+        snapshot: 3,
+        shard: 2,
+        text: "key".to_owned(),
+        body: String::new(),
+        limit: 1,
+        time_left: Duration::from_secs(1),
+    }
+}
+
+fn reply(attempt: u64, snapshot: u32, shard: u32) -> Vec<u8> {
+    wire::ShardReply {
+        attempt,
+        snapshot,
+        shard,
+        ..Default::default()
+    }
+    .encode_to_vec()
+}
+
+fn verdict(status: u16, body: &[u8]) -> Verdict {
+    let status = StatusCode::from_u16(status).unwrap();
+    match read_reply(&request(), status, &HeaderMap::new(), body) {
+        Ok(_) => Verdict::Ran,
+        Err(failure) => failure.verdict,
+    }
+}
+
+#[test]
+fn only_the_own_reply_is_a_result() {
+    assert_eq!(verdict(200, &reply(7, 3, 2)), Verdict::Ran);
+    for crossed in [reply(8, 3, 2), reply(7, 4, 2), reply(7, 3, 1), vec![0xff]] {
+        assert_eq!(verdict(200, &crossed), Verdict::MayHaveRun);
+    }
+}
+
+#[test]
+fn only_a_refusal_proves_that_nothing_ran() {
+    let refusal = wire::Refusal {
+        attempt: 7,
+        ..Default::default()
+    }
+    .encode_to_vec();
+    let other = wire::Refusal {
+        attempt: 8,
+        ..Default::default()
+    }
+    .encode_to_vec();
+    assert_eq!(verdict(503, &refusal), Verdict::NotRun);
+    assert_eq!(verdict(503, &other), Verdict::MayHaveRun);
+    for status in [500, 502, 504, 499, 202] {
+        assert_eq!(
+            verdict(status, &refusal),
+            Verdict::MayHaveRun,
+            "status {status}"
+        );
+    }
+}
+
+#[test]
+fn a_refusal_tells_which_snapshots_are_held() {
+    let refusal = wire::Refusal {
+        attempt: 7,
+        held_snapshots: vec![2],
+        ..Default::default()
+    };
+    let result = read_reply(
+        &request(),
+        StatusCode::CONFLICT,
+        &HeaderMap::new(),
+        &refusal.encode_to_vec(),
+    );
+    assert_eq!(
+        result.unwrap_err().reason,
+        FailureReason::WrongSnapshot(vec![2])
+    );
+}
+
+quickcheck! {
+    fn no_bytes_make_a_panic(status: u16, body: Vec<u8>) -> bool {
+        verdict(status % 500 + 100, &body) != Verdict::Ran || status % 500 == 100
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/metrics/mod.rs
@@ -0,0 +1,6 @@
+//! Metrics per kind and rank, scraped in the Prometheus text format.
+
+mod recorder;
+
+pub use recorder::AttemptRole;
+pub use recorder::Metrics;
--- /dev/null
+++ b/crates/telemetry/src/metrics/recorder.rs
@@ -0,0 +1,138 @@
+//! The instruments of one process.
+
+use std::fmt;
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Upper bounds of the latency histogram's buckets, in seconds.
+const LATENCY_BOUNDS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.04, 0.07, 0.1, 0.15, 0.2, 0.28, 0.5, 1.0, 5.0,
+];
+
+/// Upper bounds of the coverage histogram's buckets, as shares of the whole.
+const COVERAGE_BOUNDS: [f64; 10] = [0.0, 0.25, 0.5, 0.75, 0.8, 0.9, 0.95, 0.98, 0.99, 0.9999];
+
+/// Upper bounds of the extra-load histogram's buckets, as extra attempts per first attempt.
+const EXTRA_LOAD_BOUNDS: [f64; 8] = [0.0, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0];
+
+/// Why an attempt was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptRole {
+    /// The first attempt on a shard.
+    First,
+    /// A second attempt because the first is slow.
+    Hedge,
+    /// Another attempt because one failed.
+    Retry,
+}
+
+/// Instruments for requests, attempts and refusals.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Registry,
+    /// Keeps the pipeline alive.
+    _provider: SdkMeterProvider,
+    latency: Histogram<f64>,
+    coverage: Histogram<f64>,
+    extra_load: Histogram<f64>,
+    attempts: Counter<u64>,
+    outcomes: Counter<u64>,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a new registry takes the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("galenaloft");
+        let histogram = |name: &'static str, bounds: &[f64]| {
+            meter
+                .f64_histogram(name)
+                .with_boundaries(bounds.to_vec())
+                .build()
+        };
+        Self {
+            latency: histogram("galenaloft_request_seconds", &LATENCY_BOUNDS),
+            coverage: histogram("galenaloft_coverage_ratio", &COVERAGE_BOUNDS),
+            extra_load: histogram("galenaloft_extra_load_ratio", &EXTRA_LOAD_BOUNDS),
+            attempts: meter.u64_counter("galenaloft_attempts").build(),
+            outcomes: meter.u64_counter("galenaloft_requests").build(),
+            registry,
+            _provider: provider,
+        }
+    }
+}
+
+impl Metrics {
+    /// Records an answered search or fetch.
+    pub fn answered(&self, kind: &str, rank: u8, latency: Duration, coverage: f64, extra: f64) {
+        let labels = labels(kind, rank);
+        self.latency.record(latency.as_secs_f64(), &labels);
+        self.coverage.record(coverage, &labels);
+        self.extra_load.record(extra, &labels);
+    }
+
+    /// Records a finished submission.
+    pub fn submitted(&self, kind: &str, rank: u8, latency: Duration) {
+        self.latency
+            .record(latency.as_secs_f64(), &labels(kind, rank));
+    }
+
+    /// Counts attempts sent for one reason.
+    pub fn attempts(&self, kind: &str, role: AttemptRole, count: u64) {
+        let role = match role {
+            AttemptRole::First => "first",
+            AttemptRole::Hedge => "hedge",
+            AttemptRole::Retry => "retry",
+        };
+        let labels = [
+            KeyValue::new("kind", kind.to_owned()),
+            KeyValue::new("role", role),
+        ];
+        self.attempts.add(count, &labels);
+    }
+
+    /// Counts a request by its verdict and its status.
+    pub fn outcome(&self, kind: &str, verdict: &'static str, status: u16) {
+        let labels = [
+            KeyValue::new("kind", kind.to_owned()),
+            KeyValue::new("verdict", verdict),
+            KeyValue::new("status", i64::from(status)),
+        ];
+        self.outcomes.add(1, &labels);
+    }
+
+    /// Returns every metric in the Prometheus text format.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut buf = Vec::new();
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode(&families, &mut buf)
+            .expect("writing to memory succeeds");
+        buf
+    }
+}
+
+fn labels(kind: &str, rank: u8) -> [KeyValue; 2] {
+    [
+        KeyValue::new("kind", kind.to_owned()),
+        KeyValue::new("rank", i64::from(rank)),
+    ]
+}
