--- a/crates/config/src/reader/map.rs
+++ b/crates/config/src/reader/map.rs
@@ -1,7 +1,5 @@
 //! A mapping whose fields are taken one by one.
 
-use std::collections::BTreeMap;
-
 use marked_yaml::LoaderOptions;
 use marked_yaml::Node;
 
@@ -14,7 +12,8 @@
     file: &'a str,
     path: String,
     line: usize,
-    fields: BTreeMap<&'a str, &'a Node>,
+    /// Fields not yet taken, in the order of the document.
+    fields: Vec<(&'a str, &'a Node)>,
     known: Vec<String>,
 }
 
@@ -73,7 +72,8 @@
     /// Takes a field that may be absent.
     pub fn optional(&mut self, name: &str) -> Option<Field<'a>> {
         self.known.push(name.to_owned());
-        let node = self.fields.remove(name)?;
+        let index = self.fields.iter().position(|(field, _)| *field == name)?;
+        let (_, node) = self.fields.remove(index);
         Some(Field::new(self.file, self.path_of(name), node))
     }
 
@@ -92,7 +92,7 @@
 
     /// Refuses any field that was not taken.
     pub fn finish(self) -> Result<(), ConfigError> {
-        let Some((name, node)) = self.fields.iter().next() else {
+        let Some((name, node)) = self.fields.first() else {
             return Ok(());
         };
         Err(ConfigError::Unknown {
--- a/crates/host/src/gossip/prober.rs
+++ b/crates/host/src/gossip/prober.rs
@@ -1,5 +1,6 @@
 //! One probe a period, direct and then through others.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -46,7 +47,7 @@
 
 /// Probes a peer, directly and then through others. Returns whether it replied itself.
 async fn probe<E: Edges>(node: &Arc<Node<E>>, target: &HostFact, wants_all: bool) -> bool {
-    if probe_directly(node, target, wants_all).await {
+    if probe_directly(node, target.address, wants_all).await {
         return true;
     }
     if target.state != HostState::Alive {
@@ -65,13 +66,13 @@
 /// Probes a peer directly. Returns whether it replied.
 pub async fn probe_directly<E: Edges>(
     node: &Arc<Node<E>>,
-    target: &HostFact,
+    address: SocketAddr,
     wants_all: bool,
 ) -> bool {
     let probe = message(node, wants_all, false);
     let reply = node
         .links
-        .call(target.address, PROBE_TIMEOUT, |peer, cx| async move {
+        .call(address, PROBE_TIMEOUT, |peer, cx| async move {
             peer.probe(cx, probe).await
         })
         .await;
--- a/crates/host/src/node/drain.rs
+++ b/crates/host/src/node/drain.rs
@@ -69,7 +69,7 @@
         join_all(
             targets
                 .iter()
-                .map(|target| probe_directly(self, target, false)),
+                .map(|target| probe_directly(self, target.address, false)),
         )
         .await;
     }
--- a/crates/host/src/node/model.rs
+++ b/crates/host/src/node/model.rs
@@ -28,6 +28,7 @@
 use rand::RngExt;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::now;
 use crate::edges::Edges;
@@ -209,17 +210,20 @@
         lock(&self.leaving).insert(searcher.clone());
     }
 
-    /// Returns the addresses of all known peers.
-    pub(crate) fn peer_addresses(&self) -> Vec<SocketAddr> {
+    /// Returns the addresses of up to `count` peers, each host asking others of its own choice.
+    pub(crate) fn peers_to_ask(&self, count: usize) -> Vec<SocketAddr> {
         let members = lock(&self.members);
-        let known = members
-            .facts()
-            .filter(|fact| fact.host != self.settings.host);
-        let mut addresses: Vec<SocketAddr> = known.map(|fact| fact.address).collect();
+        let known = members.facts().map(|fact| fact.address);
+        let mut addresses: BTreeSet<SocketAddr> = known.collect();
+        drop(members);
         addresses.extend(&self.settings.peers);
-        addresses.retain(|address| *address != self.settings.listen.peers);
-        addresses.sort_unstable();
-        addresses.dedup();
+        addresses.remove(&self.settings.listen.peers);
+        let mut addresses: Vec<SocketAddr> = addresses.into_iter().collect();
+        let choice = |address: &SocketAddr| {
+            xxh3_64_with_seed(address.to_string().as_bytes(), self.identity.incarnation)
+        };
+        addresses.sort_by_key(choice);
+        addresses.truncate(count);
         addresses
     }
 
--- a/crates/host/src/node/peer_service.rs
+++ b/crates/host/src/node/peer_service.rs
@@ -113,7 +113,7 @@
     }
 
     async fn probe_through(self, _: Context, target: HostFact) -> bool {
-        probe_directly(&self.0, &target, false).await
+        probe_directly(&self.0, target.address, false).await
     }
 
     async fn published(self, _: Context, key: PublishedKey, than: Stamp) -> Option<Published> {
--- a/crates/host/src/publish/watcher.rs
+++ b/crates/host/src/publish/watcher.rs
@@ -22,6 +22,7 @@
 use crate::clock::now;
 use crate::edges::Edges;
 use crate::edges::PlatformLink;
+use crate::gossip::probe_directly;
 use crate::node::Node;
 use crate::publish::Alarm;
 use crate::sync::lock;
@@ -47,6 +48,9 @@
 /// Longest wait for a value from a peer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Most peers that a host asks when it starts or wakes.
+const MAX_ASKED: usize = 8;
+
 /// Returns the platform's name of a key.
 fn name_of(key: PublishedKey) -> &'static str {
     match key {
@@ -122,8 +126,7 @@
         .any(|host| **host == node.settings.host)
 }
 
-/// Asks the platform and every known peer for both values until both are known, before the host
-/// reports ready.
+/// Asks the platform and some peers until both values are known, before the host reports ready.
 pub async fn fetch_at_start<E: Edges>(node: &Arc<Node<E>>) {
     loop {
         refresh(node).await;
@@ -134,16 +137,19 @@
     }
 }
 
-/// Asks the platform and every known peer once for both values, all at the same time.
+/// Asks the platform and some peers once for both values and for the live hosts, all at the same
+/// time.
 pub async fn refresh<E: Edges>(node: &Arc<Node<E>>) {
     read_host_list(node).await;
     let keys = [PublishedKey::Sheet, PublishedKey::Layout];
     let platform = keys.map(|key| read_platform(node, key, Duration::ZERO));
-    let addresses = node.peer_addresses();
-    let pairs = addresses
-        .iter()
-        .flat_map(|address| keys.map(|key| (*address, key)));
-    let peers = pairs.map(|(address, key)| fetch_from_peer(node, address, key));
+    let peers = node
+        .peers_to_ask(MAX_ASKED)
+        .into_iter()
+        .map(|address| async move {
+            probe_directly(node, address, true).await;
+            join_all(keys.map(|key| fetch_from_peer(node, address, key))).await;
+        });
     tokio::join!(join_all(platform), join_all(peers));
 }
 
