--- a/crates/host/src/node/model.rs
+++ b/crates/host/src/node/model.rs
@@ -26,6 +26,8 @@
 use galenaloft_policy::ticket::TicketTable;
 use galenaloft_telemetry::metrics::Metrics;
 use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -104,6 +106,7 @@
     pub(crate) leaving: Mutex<BTreeSet<SearcherId>>,
     pub(crate) in_progress: AtomicU32,
     next_id: AtomicU64,
+    rng: Mutex<SmallRng>,
 }
 
 impl<E: Edges> Node<E> {
@@ -153,6 +156,7 @@
             leaving: Mutex::new(BTreeSet::new()),
             in_progress: AtomicU32::new(0),
             next_id: AtomicU64::new(identity.incarnation),
+            rng: Mutex::new(SmallRng::seed_from_u64(identity.incarnation)),
         })
     }
 
@@ -227,6 +231,11 @@
         addresses
     }
 
+    /// Returns a random part of `most`.
+    pub(crate) fn jitter(&self, most: Duration) -> Duration {
+        most.mul_f64(lock(&self.rng).random())
+    }
+
     pub(crate) fn next_attempt_id(&self) -> AttemptId {
         self.next_id.fetch_add(1, Ordering::Relaxed)
     }
--- a/crates/host/src/owner/control.rs
+++ b/crates/host/src/owner/control.rs
@@ -10,6 +10,7 @@
 use tokio::time::interval;
 use tokio::time::timeout;
 
+use crate::clock::now;
 use crate::edges::SearcherConn;
 use crate::edges::SearcherLink;
 use crate::owner::queue::SearcherQueue;
@@ -32,6 +33,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let attempt = tokio::select! {
+            biased;
             _ = ticks.tick() => None,
             Some(attempt) = cancels.recv() => Some(attempt),
             _ = stop.wait_for(|stopping| *stopping) => return,
@@ -40,6 +42,7 @@
             conn = link.connect(queue.spec.address).await.ok();
         }
         let Some(open) = conn.as_mut() else {
+            queue.note_health(None, now());
             continue;
         };
         let alive = match attempt {
@@ -54,16 +57,14 @@
 
 /// Asks for the health. Returns whether the searcher replied in time.
 async fn check_health<C: SearcherConn>(queue: &SearcherQueue, conn: &mut C) -> bool {
-    match timeout(REPLY_TIMEOUT, conn.is_draining()).await {
-        Ok(Ok(draining)) => {
-            if queue.set_draining(draining) {
-                Event::new("searcher_draining")
-                    .with("searcher", &queue.spec.id)
-                    .with("draining", draining)
-                    .info();
-            }
-            true
-        }
-        Ok(Err(_)) | Err(_) => false,
+    let asked = now();
+    let reply = timeout(REPLY_TIMEOUT, conn.is_draining()).await;
+    let draining = reply.ok().and_then(Result::ok);
+    if queue.note_health(draining, asked) {
+        Event::new("searcher_draining")
+            .with("searcher", &queue.spec.id)
+            .with("draining", draining.unwrap_or(false))
+            .info();
     }
+    draining.is_some()
 }
--- a/crates/host/src/owner/queue.rs
+++ b/crates/host/src/owner/queue.rs
@@ -27,6 +27,10 @@
 /// How long a searcher that refused a connection is left alone.
 const DOWN_PAUSE: Duration = Duration::from_millis(200);
 
+/// How long a searcher that was asked is taken not to be leaving. Work sent later could reach a
+/// searcher that has said so meanwhile.
+const HEALTH_VALID: Duration = Duration::from_millis(2_500);
+
 /// Weight of the newest run in the moving average of the service time.
 const SERVICE_WEIGHT: f64 = 0.1;
 
@@ -58,10 +62,22 @@
     }
 }
 
+/// What the last health check of the searcher said.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Health {
+    /// It was not asked yet.
+    Unknown,
+    /// It answered at this time.
+    Answered(Instant),
+    /// It did not answer.
+    Silent,
+}
+
 #[derive(Debug)]
 struct State {
     waiting: RankQueue<Job>,
     running: u32,
+    health: Health,
     draining: bool,
     closed: bool,
     down_until: Option<Instant>,
@@ -95,6 +111,7 @@
         let state = State {
             waiting,
             running: 0,
+            health: Health::Unknown,
             draining: false,
             closed: false,
             down_until: None,
@@ -158,6 +175,17 @@
         self.lock().down_until = Some(now + DOWN_PAUSE);
     }
 
+    /// Notes the answer to a health check, `None` if there was none. Returns whether the searcher
+    /// has changed between staying and leaving.
+    pub fn note_health(&self, draining: Option<bool>, now: Instant) -> bool {
+        self.lock().health = match draining {
+            Some(_) => Health::Answered(now),
+            None => Health::Silent,
+        };
+        self.changed.notify_waiters();
+        draining.is_some_and(|draining| self.set_draining(draining))
+    }
+
     /// Sets whether the searcher is leaving; what waits is then ended as not run.
     pub fn set_draining(&self, draining: bool) -> bool {
         let mut state = self.lock();
@@ -226,7 +254,12 @@
         if state.closed {
             return Next::Closed;
         }
-        let down = state.down_until.is_some_and(|until| now < until);
+        let known = match state.health {
+            Health::Unknown => return Next::Empty,
+            Health::Answered(at) => now.saturating_duration_since(at) <= HEALTH_VALID,
+            Health::Silent => false,
+        };
+        let down = !known || state.down_until.is_some_and(|until| now < until);
         let service = state.service;
         loop {
             match state.waiting.pop(now, service) {
--- a/crates/host/src/owner/slot.rs
+++ b/crates/host/src/owner/slot.rs
@@ -107,6 +107,7 @@
     let connecting = link.connect(queue.spec.address);
     tokio::pin!(connecting);
     let connected = tokio::select! {
+        biased;
         connected = &mut connecting => connected,
         () = tx.closed() => return None,
     };
--- a/crates/host/src/publish/alarms.rs
+++ b/crates/host/src/publish/alarms.rs
@@ -17,8 +17,10 @@
     LayoutRefused,
     /// Two texts were published under one version.
     RevisionConflict,
-    /// The platform offers an older version than the one in force.
-    PlatformBehind,
+    /// The platform has an older sheet than the one in force.
+    SheetBehind,
+    /// The platform has an older layout than the one in force.
+    LayoutBehind,
     /// The platform cannot be reached.
     PlatformUnreachable,
 }
@@ -29,7 +31,8 @@
             Self::SheetRefused => "sheet_refused",
             Self::LayoutRefused => "layout_refused",
             Self::RevisionConflict => "revision_conflict",
-            Self::PlatformBehind => "platform_behind",
+            Self::SheetBehind => "sheet_behind",
+            Self::LayoutBehind => "layout_behind",
             Self::PlatformUnreachable => "platform_unreachable",
         })
     }
--- a/crates/host/src/publish/watcher.rs
+++ b/crates/host/src/publish/watcher.rs
@@ -12,11 +12,11 @@
 use galenaloft_platform::wire::HostState as ListedState;
 use galenaloft_platform::wire::ListedHost;
 use galenaloft_platform::wire::Role;
+use galenaloft_policy::ids::Revision;
 use galenaloft_policy::membership::HostFact;
 use galenaloft_policy::membership::HostState;
 use galenaloft_policy::revision::Stamp;
 use galenaloft_policy::routing::ranking;
-use rand::RngExt;
 use tokio::time::sleep;
 
 use crate::clock::now;
@@ -28,7 +28,10 @@
 use crate::sync::lock;
 
 /// How long one watch waits at the platform.
-const WATCH: Duration = Duration::from_secs(20);
+const WATCH: Duration = Duration::from_secs(8);
+
+/// Pause between two reads of the platform by a host that watches.
+const READ_PAUSE: Duration = Duration::from_millis(500);
 
 /// Pause after the platform could not be reached, before a random part is added.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
@@ -61,34 +64,36 @@
 
 /// Watches one key of the platform as long as this host is one of its zone's watchers, and reads
 /// it now and then otherwise.
+///
+/// A watch waits for a version above the last one offered, not above the one in force: a version
+/// that was refused must not be offered again and again.
 pub async fn run_watcher<E: Edges>(node: Arc<Node<E>>, key: PublishedKey) {
+    let mut seen = 0;
     loop {
         let watches = is_watcher(&node, key);
-        let wait = if watches { WATCH } else { Duration::ZERO };
-        let reached = read_platform(&node, key, wait).await;
-        let pause = match (reached, watches) {
-            (true, true) => Duration::ZERO,
-            (true, false) => POLL + jitter(),
-            (false, _) => RETRY_PAUSE + jitter(),
+        if watches {
+            seen = watch(&node, key, seen, WATCH).await.unwrap_or(seen);
+        }
+        // A second text under the version last seen is noticed only by reading it again.
+        let read = watch(&node, key, seen.saturating_sub(1), Duration::ZERO).await;
+        seen = read.unwrap_or(seen);
+        let pause = match (read, watches) {
+            (Some(_), true) => READ_PAUSE,
+            (Some(_), false) => POLL + node.jitter(JITTER),
+            (None, _) => RETRY_PAUSE + node.jitter(JITTER),
         };
         sleep(pause).await;
     }
 }
 
-/// Reads one key once. Returns whether the platform was reached.
-async fn read_platform<E: Edges>(node: &Node<E>, key: PublishedKey, wait: Duration) -> bool {
-    let stamps = node.values.stamps();
-    let revision = match key {
-        PublishedKey::Sheet => stamps.sheet.revision,
-        PublishedKey::Layout => stamps.layout.revision,
-    };
-    // The version in force is asked for as well now and then, so that a second text under it is
-    // seen.
-    let after = if wait.is_zero() {
-        revision.saturating_sub(1)
-    } else {
-        revision
-    };
+/// Waits for a version above `after` and offers it. Returns the platform's version, or `None` if
+/// the platform was not reached.
+async fn watch<E: Edges>(
+    node: &Node<E>,
+    key: PublishedKey,
+    after: Revision,
+    wait: Duration,
+) -> Option<Revision> {
     let offered = match node.platform.watch(name_of(key), after, wait).await {
         Ok(Watched::Value(value)) => {
             node.offer(key, value.version, &value.value);
@@ -98,18 +103,29 @@
         Err(e) => {
             node.alarms
                 .raise(Alarm::PlatformUnreachable, &e.to_string());
-            return false;
+            return None;
         }
     };
     node.alarms.clear(Alarm::PlatformUnreachable);
-    if offered < revision {
-        let name = name_of(key);
-        let reason = format!("{name} version {revision} is in force, the platform has {offered}");
-        node.alarms.raise(Alarm::PlatformBehind, &reason);
+    note_platform_version(node, key, offered);
+    Some(offered)
+}
+
+fn note_platform_version<E: Edges>(node: &Node<E>, key: PublishedKey, offered: Revision) {
+    let stamps = node.values.stamps();
+    let (alarm, stamp) = match key {
+        PublishedKey::Sheet => (Alarm::SheetBehind, stamps.sheet),
+        PublishedKey::Layout => (Alarm::LayoutBehind, stamps.layout),
+    };
+    if offered < stamp.revision {
+        let reason = format!(
+            "version {} is in force, the platform has {offered}",
+            stamp.revision
+        );
+        node.alarms.raise(alarm, &reason);
     } else {
-        node.alarms.clear(Alarm::PlatformBehind);
+        node.alarms.clear(alarm);
     }
-    true
 }
 
 fn is_watcher<E: Edges>(node: &Node<E>, key: PublishedKey) -> bool {
@@ -142,7 +158,7 @@
 pub async fn refresh<E: Edges>(node: &Arc<Node<E>>) {
     read_host_list(node).await;
     let keys = [PublishedKey::Sheet, PublishedKey::Layout];
-    let platform = keys.map(|key| read_platform(node, key, Duration::ZERO));
+    let platform = keys.map(|key| watch(node, key, 0, Duration::ZERO));
     let peers = node
         .peers_to_ask(MAX_ASKED)
         .into_iter()
@@ -175,7 +191,7 @@
 pub async fn run_host_list<E: Edges>(node: Arc<Node<E>>) {
     loop {
         read_host_list(&node).await;
-        sleep(HOST_LIST_PERIOD + jitter() / 10).await;
+        sleep(HOST_LIST_PERIOD + node.jitter(JITTER / 10)).await;
     }
 }
 
@@ -209,7 +225,3 @@
     };
     lock(&node.members).learn_listed(fact, now());
 }
-
-fn jitter() -> Duration {
-    JITTER.mul_f64(rand::rng().random::<f64>())
-}
--- a/crates/policy/src/revision/in_force.rs
+++ b/crates/policy/src/revision/in_force.rs
@@ -1,9 +1,13 @@
 //! The value in force: the greatest valid one ever seen.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::revision::Stamp;
 
+/// Most invalid values that are remembered.
+const MAX_REFUSED: usize = 64;
+
 /// What became of an offered value.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Offer {
@@ -28,7 +32,8 @@
     stamp: Stamp,
     text: Arc<str>,
     value: Option<Arc<T>>,
-    refused: Stamp,
+    /// Invalid values greater than the one in force.
+    refused: BTreeSet<Stamp>,
 }
 
 impl<T> Default for InForce<T> {
@@ -37,7 +42,7 @@
             stamp: Stamp::default(),
             text: "".into(),
             value: None,
-            refused: Stamp::default(),
+            refused: BTreeSet::new(),
         }
     }
 }
@@ -67,6 +72,7 @@
                 self.stamp = stamp;
                 self.text = text.into();
                 self.value = Some(Arc::new(value));
+                self.refused.retain(|refused| *refused > stamp);
                 if conflict {
                     Offer::Conflict { adopted: true }
                 } else {
@@ -74,7 +80,10 @@
                 }
             }
             Err(why) => {
-                self.refused = self.refused.max(stamp);
+                self.refused.insert(stamp);
+                if self.refused.len() > MAX_REFUSED {
+                    self.refused.pop_first();
+                }
                 Offer::Invalid(why)
             }
         }
@@ -97,6 +106,6 @@
 
     /// Returns whether a value with this stamp is worth fetching.
     pub fn wants(&self, stamp: Stamp) -> bool {
-        stamp > self.stamp && stamp > self.refused
+        stamp > self.stamp && !self.refused.contains(&stamp)
     }
 }
--- a/crates/policy/src/revision/tests.rs
+++ b/crates/policy/src/revision/tests.rs
@@ -25,6 +25,15 @@
     assert_eq!(in_force.offer(6, "six", parse), Offer::Adopted);
 }
 
+#[test]
+fn an_invalid_value_does_not_hide_an_older_valid_one() {
+    let mut in_force = InForce::default();
+    in_force.offer(1, "one", parse);
+    in_force.offer(3, "!three", parse);
+    assert!(in_force.wants(Stamp::new(2, "two")));
+    assert!(!in_force.wants(Stamp::new(3, "!three")));
+}
+
 quickcheck! {
     fn any_order_of_offers_ends_alike_and_never_reverts(offers: Vec<(u8, u8)>, turn: usize) -> bool {
         let text = |n: u8| if n.is_multiple_of(5) { format!("!{n}") } else { n.to_string() };
--- a/crates/telemetry/src/log/mod.rs
+++ b/crates/telemetry/src/log/mod.rs
@@ -8,3 +8,4 @@
 pub use event::Event;
 pub use setup::Level;
 pub use setup::init;
+pub use setup::silence;
--- a/crates/telemetry/src/log/setup.rs
+++ b/crates/telemetry/src/log/setup.rs
@@ -43,6 +43,11 @@
     Ok(())
 }
 
+/// Writes no events at all.
+pub fn silence() {
+    spdlog::default_logger().set_level_filter(LevelFilter::Off);
+}
+
 fn filter(level: Level) -> LevelFilter {
     LevelFilter::MoreSevereEqual(match level {
         Level::Debug => spdlog::Level::Debug,
