Copies answer only their own request; planned stop closes to callers first

Cause: the copy's digest was not compared. Ruled out: the holder's own table (it compares). A planned stop closed to callers only after it had waited for them, so that a request could come in between. It now closes first. The oracle counts callers' requests in progress at each process by itself.

--- a/bin/galenaloftd/src/serve.rs
+++ b/bin/galenaloftd/src/serve.rs
@@ -69,8 +69,8 @@
     );
     let (stop, stop_rx) = watch::channel(false);
     tokio::spawn(serve_peers(peers, node.clone()));
-    tokio::spawn(serve_operators(operators, node.clone(), stop_rx.clone()));
-    let front = tokio::spawn(serve_callers(callers, limits, node.clone(), stop_rx));
+    tokio::spawn(serve_operators(operators, node.clone(), stop_rx));
+    let front = tokio::spawn(serve_callers(callers, limits, node.clone()));
     let tasks = node.start();
 
     let mut phase = node.phase();
@@ -104,12 +104,15 @@
     cut
 }
 
-async fn serve_callers(
-    listener: TcpListener,
-    limits: Limits,
-    node: RealNode,
-    stop: watch::Receiver<bool>,
-) {
+/// Serves callers until the host closes to them, then until their last request has ended.
+async fn serve_callers(listener: TcpListener, limits: Limits, node: RealNode) {
+    let (close, stop) = watch::channel(false);
+    let mut phase = node.phase();
+    tokio::spawn(async move {
+        // The node outlives its servers.
+        let _ = phase.wait_for(|phase| *phase == Phase::Stopping).await;
+        close.send_replace(true);
+    });
     let server = Server::new(listener, limits, refuse_body);
     server
         .serve(move |req| handle_caller(node.clone(), req), stop)
--- a/crates/host/src/node/drain.rs
+++ b/crates/host/src/node/drain.rs
@@ -32,20 +32,20 @@
         })
     }
 
-    /// Carries out a planned stop: waits until the balancer sends no more, tells the peers, lets
-    /// requests end, hands over tickets. Returns the number of requests that were cut.
+    /// Carries out a planned stop: waits until the balancer sends no more, closes to callers,
+    /// tells the peers, lets requests end, hands over tickets. Returns the number of requests that
+    /// were cut.
     pub async fn drain(self: &Arc<Self>) -> u32 {
         self.start_drain();
         Event::new("drain_started")
             .with("host", &self.settings.host)
             .info();
         sleep(self.settings.drain.balancer_lag).await;
+        self.phase.send_replace(Phase::Stopping);
         self.announce_leaving().await;
         let limit = now() + self.settings.drain.grace;
         let cut = self.wait_until_idle(limit).await;
         self.hand_over().await;
-        self.phase.send_replace(Phase::Stopping);
-        let cut = cut.max(self.wait_until_idle(limit).await);
         self.owner.close();
         Event::new("drain_ended")
             .with("host", &self.settings.host)
--- a/crates/host/src/node/model.rs
+++ b/crates/host/src/node/model.rs
@@ -55,7 +55,7 @@
     Ready,
     /// It serves those who still come and asks the balancer for no more.
     Draining,
-    /// It ends what runs.
+    /// It is closed to callers and ends what runs.
     Stopping,
 }
 
--- a/crates/host/src/submit/run.rs
+++ b/crates/host/src/submit/run.rs
@@ -119,6 +119,7 @@
         let present = now();
         let deadline = present + submission.time_left;
         let ticket = submission.ticket.clone();
+        let digest = digest_of(&submission);
         if lock(&self.tickets).holds(ticket.incarnation) {
             return SubmitOutcome::of_reply(self.submit_here(submission, deadline).await);
         }
@@ -130,7 +131,10 @@
         match reply {
             SubmissionReply::NotHolder | SubmissionReply::StillRunning => {
                 match self.find_copy(&ticket).await {
-                    Some(outcome) => SubmitOutcome::ended(outcome, true),
+                    Some(outcome) if outcome.digest == digest => {
+                        SubmitOutcome::ended(outcome, true)
+                    }
+                    Some(_) => SubmitOutcome::of_reply(SubmissionReply::OtherRequest),
                     None => SubmitOutcome::of_reply(reply),
                 }
             }
--- a/crates/host/tests/world/mod.rs
+++ b/crates/host/tests/world/mod.rs
@@ -71,6 +71,8 @@
     pub processes: BTreeMap<usize, Process>,
     pub dead: BTreeSet<ProcessId>,
     pub frozen: BTreeSet<usize>,
+    /// Callers' requests in progress at each process.
+    pub in_progress: BTreeMap<ProcessId, u32>,
     pub split: bool,
     pub isolated: BTreeSet<usize>,
     pub platform: Platform,
--- a/crates/host/tests/world/searchers.rs
+++ b/crates/host/tests/world/searchers.rs
@@ -236,7 +236,13 @@
         }
     }
     if fault == Fault::CrossedReplies {
+        // The reply to somebody else's request.
         reply.attempt ^= 1;
+        reply.receipt = "crossed".to_owned();
+        reply
+            .entries
+            .iter_mut()
+            .for_each(|entry| entry.title = "crossed".to_owned());
     }
     if fault != Fault::LostReplies {
         let _ = tx.send((StatusCode::OK, HeaderMap::new(), reply.encode_to_vec()));
