--- a/bin/galenaloft-standin/src/main.rs
+++ b/bin/galenaloft-standin/src/main.rs
@@ -1,17 +1,11 @@
-//! Stand-in for what surrounds the query tier: searchers, configuration service and host list.
+//! The stand-in as a program.
 
-mod catalogue;
 mod cli;
-mod error;
-mod options;
-mod platform;
-mod run;
-mod searcher;
 
 use std::process::ExitCode;
 
-use crate::error::StandinError;
-use crate::options::Options;
+use galenaloft_standin::Options;
+use galenaloft_standin::StandinError;
 
 fn main() -> ExitCode {
     match run() {
@@ -24,6 +18,7 @@
 }
 
 fn run() -> Result<(), StandinError> {
-    let options = Options::from_flags(&cli::GalenaloftStandin::from_env_or_exit())?;
-    run::run(options)
+    let flags = cli::GalenaloftStandin::from_env_or_exit();
+    let options = Options::load(&flags.scene, flags.seconds)?;
+    galenaloft_standin::run(options)
 }
--- a/bin/galenaloft-standin/src/options.rs
+++ b/bin/galenaloft-standin/src/options.rs
@@ -12,7 +12,6 @@
 use galenaloft_config::reader::MapReader;
 use galenaloft_config::reader::parse;
 
-use crate::cli::GalenaloftStandin;
 use crate::error::StandinError;
 
 /// Longest life of a stand-in, so that a forgotten one ends by itself.
@@ -91,14 +90,25 @@
 }
 
 impl Options {
-    /// Checks the command line and the files that it names.
-    pub fn from_flags(flags: &GalenaloftStandin) -> Result<Self, StandinError> {
-        let seconds = flags.seconds.unwrap_or(DEFAULT_SECONDS);
+    /// Checks the texts of a scene and of its sheet. `file` is used in errors only.
+    pub fn from_texts(file: &str, scene: &str, sheet: &str) -> Result<Self, StandinError> {
+        let scene = Scene::parse(file, scene)?;
+        Ok(Self {
+            scene,
+            sheet: sheet.to_owned(),
+            life: Duration::from_secs(DEFAULT_SECONDS),
+        })
+    }
+
+    /// Checks a scene file, the sheet that it names, and the life in seconds.
+    pub fn load(path: &Path, seconds: Option<u64>) -> Result<Self, StandinError> {
+        let seconds = seconds.unwrap_or(DEFAULT_SECONDS);
         if seconds == 0 || seconds > MAX_SECONDS {
             return Err(StandinError::Seconds(seconds, MAX_SECONDS));
         }
-        let scene = Scene::load(&flags.scene)?;
-        let base = flags.scene.parent().unwrap_or(Path::new("."));
+        let file = path.display().to_string();
+        let scene = Scene::parse(&file, &read(path)?)?;
+        let base = path.parent().unwrap_or(Path::new("."));
         let sheet = read(&base.join(&scene.sheet))?;
         Ok(Self {
             scene,
@@ -117,11 +127,9 @@
 }
 
 impl Scene {
-    fn load(path: &Path) -> Result<Self, ConfigError> {
-        let file = path.display().to_string();
-        let text = read(path)?;
-        let document = parse(&file, &text)?;
-        let mut top = MapReader::top(&file, &document)?;
+    fn parse(file: &str, text: &str) -> Result<Self, ConfigError> {
+        let document = parse(file, text)?;
+        let mut top = MapReader::top(file, &document)?;
         let scene = Self {
             seed: u64::from(top.required("seed", "a number")?.number(0..=u32::MAX)?),
             zones: names(&top.required("zones", "a list of zones")?)?,
--- a/bin/galenaloft-standin/src/run.rs
+++ b/bin/galenaloft-standin/src/run.rs
@@ -28,12 +28,13 @@
     read_timeout: Duration::from_secs(60),
 };
 
-/// Plays the scene until its life ends.
+/// Plays the scene on a runtime of its own until its life ends.
 pub fn run(options: Options) -> Result<(), StandinError> {
     Runtime::new()?.block_on(play(options))
 }
 
-async fn play(options: Options) -> Result<(), StandinError> {
+/// Plays the scene on the present runtime.
+pub async fn play(options: Options) -> Result<(), StandinError> {
     let Options { scene, sheet, life } = options;
     let address = scene.platform();
     let catalogue = Catalogue::new(&scene);
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -10,6 +10,7 @@
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -156,6 +157,15 @@
     read_timeout: Duration,
 ) -> Result<Request<Bytes>, (StatusCode, String)> {
     let (head, body) = req.into_parts();
+    let too_large = || {
+        (
+            StatusCode::PAYLOAD_TOO_LARGE,
+            format!("the body exceeds {limit} bytes"),
+        )
+    };
+    if body.size_hint().lower() > limit as u64 {
+        return Err(too_large());
+    }
     let collected = timeout(read_timeout, Limited::new(body, limit).collect()).await;
     let collected = collected.map_err(|_| {
         let why = format!("the body did not arrive within {read_timeout:?}");
@@ -163,10 +173,7 @@
     })?;
     match collected {
         Ok(body) => Ok(Request::from_parts(head, body.to_bytes())),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err((
-            StatusCode::PAYLOAD_TOO_LARGE,
-            format!("the body exceeds {limit} bytes"),
-        )),
+        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(too_large()),
         Err(e) => Err((StatusCode::BAD_REQUEST, format!("the body is broken: {e}"))),
     }
 }
