Fuzz: a stopping process lingers; a scenario moves a ticket's right

A scratch mutation that copies the right instead of handing it over passed all checks: the stopping process ended at once in the world, so nobody could still ask it. It now lingers for 300 ms, as the daemon does while it writes its last replies, and a scenario submits through every host around the moment of the handover. With the mutation the scenario fails (a ticket ran 2 times).

--- a/crates/host/tests/scenarios.rs
+++ b/crates/host/tests/scenarios.rs
@@ -109,3 +109,24 @@
     }
     assert_holds(&steps);
 }
+
+#[test]
+fn a_ticket_whose_right_is_moving_runs_at_one_host_only() {
+    for moment in 95..125 {
+        let mut steps = vec![
+            Step::TakeTicket { host: 0 },
+            wait(5),
+            Step::Drain { host: 0 },
+        ];
+        steps.push(wait(moment));
+        for host in [1, 2, 3, 1, 2, 3] {
+            steps.push(Step::Submit {
+                host,
+                ticket: 0,
+                other_body: false,
+            });
+        }
+        steps.push(wait(1_900));
+        assert_holds(&steps);
+    }
+}
--- a/crates/host/tests/world/scene.rs
+++ b/crates/host/tests/world/scene.rs
@@ -51,7 +51,10 @@
 const IN_FORCE: Duration = Duration::from_secs(14);
 
 /// Longest time of a planned stop: the balancer's lag and the grace of the settings, and a second.
-const DRAIN_LIMIT: Duration = Duration::from_millis(21_100);
+const DRAIN_LIMIT: Duration = Duration::from_millis(21_400);
+
+/// Time from the end of a planned stop to the end of its process.
+const LINGER: Duration = Duration::from_millis(300);
 
 /// Reads of the platform that each start of a host may add.
 const READS_PER_START: u64 = 20;
@@ -248,6 +251,8 @@
         let background = self.background[host].take();
         self.running.spawn(async move {
             let cut = node.drain().await;
+            // The process still answers its peers while its last replies are written.
+            sleep(LINGER).await;
             let mut inner = world.lock();
             if inner.dead.contains(&process) {
                 return;
