Admission: mean wait, multiplicative growth, estimates between replies

Changes: a share is steered by the mean wait instead of the shortest; it grows by a factor, and a host grows the last share that it was told by the same factor; an owner takes work up to 1.5 times its share, since whole queries are refused by the share itself; no hedge where a replica sheds.

The unit test of two ranks floods for 3 s now instead of 1 s, since an interval is twice as long; its bound is the same.

--- a/crates/host/src/gather/beliefs.rs
+++ b/crates/host/src/gather/beliefs.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use galenaloft_policy::admission::Draw;
+use galenaloft_policy::admission::ToldShare;
 use galenaloft_policy::catalogue::SnapshotSpec;
 use galenaloft_policy::ids::CollectionName;
 use galenaloft_policy::ids::HostId;
@@ -16,9 +17,6 @@
 /// How long a searcher is taken not to hold a snapshot before it is asked again.
 const LACK_MEMORY: Duration = Duration::from_millis(500);
 
-/// How long an admitted share that an owner told is believed.
-const ADMITTED_MEMORY: Duration = Duration::from_millis(250);
-
 /// How long an owner that did not answer is passed over.
 const AVOID: Duration = Duration::from_secs(1);
 
@@ -30,7 +28,7 @@
     lacks: BTreeMap<(SearcherId, CollectionName, SnapshotId), Instant>,
     avoided: BTreeMap<HostId, Instant>,
     /// Admitted shares below the whole, as owners last told them.
-    admitted: BTreeMap<(SearcherId, Rank), (f64, Instant)>,
+    admitted: BTreeMap<(SearcherId, Rank), ToldShare>,
 }
 
 impl Beliefs {
@@ -68,7 +66,7 @@
     pub fn note_admitted(&mut self, searcher: &SearcherId, rank: Rank, share: f64, now: Instant) {
         if share < 1.0 {
             let key = (searcher.clone(), rank);
-            self.admitted.insert(key, (share, now + ADMITTED_MEMORY));
+            self.admitted.insert(key, ToldShare::new(share, now));
         } else if !self.admitted.is_empty() {
             self.admitted.remove(&(searcher.clone(), rank));
         }
@@ -90,7 +88,16 @@
             return true;
         }
         let known = self.admitted.get(&(searcher.clone(), rank));
-        known.is_none_or(|(share, until)| now >= *until || draw.is_below(*share))
+        known.is_none_or(|told| draw.is_below(told.estimate(now)))
+    }
+
+    /// Returns whether a replica is believed to admit less than all work of a rank.
+    pub fn is_shedding(&self, replicas: &[SearcherId], rank: Rank, now: Instant) -> bool {
+        let shedding = |searcher: &SearcherId| {
+            let known = self.admitted.get(&(searcher.clone(), rank));
+            known.is_some_and(|told| told.estimate(now) < 1.0)
+        };
+        !self.admitted.is_empty() && replicas.iter().any(shedding)
     }
 
     /// Notes that an owner did not answer.
@@ -107,6 +114,6 @@
     pub fn forget_passed(&mut self, now: Instant) {
         self.lacks.retain(|_, until| now < *until);
         self.avoided.retain(|_, until| now < *until);
-        self.admitted.retain(|_, (_, until)| now < *until);
+        self.admitted.retain(|_, told| told.estimate(now) < 1.0);
     }
 }
--- a/crates/host/src/gather/shard.rs
+++ b/crates/host/src/gather/shard.rs
@@ -89,7 +89,9 @@
         shard: &'a ShardSpec,
         tried: &mut Vec<SearcherId>,
     ) -> Option<Attempt<'a>> {
-        if tried.len() >= shard.replicas.len() || !lock(&plan.kind_state).hedge.spend() {
+        let loaded = lock(&self.beliefs).is_shedding(&shard.replicas, plan.kind.rank, now());
+        // Where work waits for slots, a second attempt only makes the queues longer.
+        if loaded || tried.len() >= shard.replicas.len() || !lock(&plan.kind_state).hedge.spend() {
             return None;
         }
         let hedge = self.next_attempt(plan, snapshot, shard, tried)?;
--- a/crates/host/src/owner/queue.rs
+++ b/crates/host/src/owner/queue.rs
@@ -36,7 +36,7 @@
 const SERVICE_WEIGHT: f64 = 0.1;
 
 /// Longest service time that is assumed, so that a searcher once slow is tried again.
-const MAX_SERVICE_GUESS: Duration = Duration::from_millis(20);
+const MAX_SERVICE_GUESS: Duration = Duration::from_millis(60);
 
 /// Result of an attempt.
 pub type AttemptResult = Result<ShardResult, AttemptFailure>;
@@ -140,8 +140,8 @@
             return job.refuse(FailureReason::Draining);
         }
         let (rank, deadline) = (job.req.rank, job.deadline);
-        let share = state.admission.share(rank, now);
-        if job.req.operation.is_idempotent() && !job.req.draw.is_below(share) {
+        let taken = state.admission.takes(rank, job.req.draw, now);
+        if job.req.operation.is_idempotent() && !taken {
             drop(state);
             return job.refuse(FailureReason::Shed);
         }
--- a/crates/policy/src/admission/controller.rs
+++ b/crates/policy/src/admission/controller.rs
@@ -4,20 +4,25 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::admission::Draw;
 use crate::ids::Rank;
 
 /// How often the admitted share changes.
-const INTERVAL: Duration = Duration::from_millis(50);
+pub(super) const INTERVAL: Duration = Duration::from_millis(100);
 
-/// Longest wait in the queue, as a share of the time that the work has in all, before less is
+/// Longest mean wait in the queue, as a share of the time that the work has in all, before less is
 /// admitted.
 const TARGET_WAIT: f64 = 0.25;
 
-/// Factor of the admitted share after an interval in which even the shortest wait was too long.
+/// Factor of the admitted share after an interval in which the mean wait was too long.
 const DECREASE: f64 = 0.85;
 
-/// What is added to the admitted share after any other interval.
-const INCREASE: f64 = 0.01;
+/// Factor of the admitted share after any other interval.
+pub(super) const INCREASE: f64 = 1.05;
+
+/// Factor by which work beyond the admitted share is still taken. Entry hosts refuse whole queries
+/// by the share itself; refusing the shards of a query that they let through wastes the others.
+const TOLERANCE: f64 = 1.5;
 
 /// Least admitted share, so that a rank is never shut out wholly.
 const MIN_SHARE: f64 = 0.005;
@@ -25,8 +30,10 @@
 #[derive(Debug)]
 struct Lane {
     share: f64,
-    /// Shortest wait of this interval, as a share of the time in all; `None` without work.
-    shortest: Option<f64>,
+    /// Sum of the waits of this interval, each as a share of the time in all.
+    waits: f64,
+    /// Number of those waits.
+    count: u32,
     since: Instant,
 }
 
@@ -44,7 +51,8 @@
     pub fn note_wait(&mut self, rank: Rank, wait: Duration, in_all: Duration, now: Instant) {
         let ratio = wait.as_secs_f64() / in_all.as_secs_f64().max(1e-3);
         let lane = self.lane(rank, now);
-        lane.shortest = Some(lane.shortest.map_or(ratio, |shortest| shortest.min(ratio)));
+        lane.waits += ratio;
+        lane.count += 1;
         lane.turn(now);
     }
 
@@ -55,10 +63,16 @@
         lane.share
     }
 
+    /// Returns whether work of a rank is taken, somewhat beyond the admitted share.
+    pub fn takes(&mut self, rank: Rank, draw: Draw, now: Instant) -> bool {
+        draw.is_below(self.share(rank, now) * TOLERANCE)
+    }
+
     fn lane(&mut self, rank: Rank, now: Instant) -> &mut Lane {
         let new = || Lane {
             share: 1.0,
-            shortest: None,
+            waits: 0.0,
+            count: 0,
             since: now,
         };
         self.lanes.entry(rank).or_insert_with(new)
@@ -74,13 +88,12 @@
             return;
         }
         self.since = now;
-        let too_long = self
-            .shortest
-            .take()
-            .is_some_and(|shortest| shortest > TARGET_WAIT);
+        let too_long = self.waits > TARGET_WAIT * f64::from(self.count);
+        self.waits = 0.0;
+        self.count = 0;
         self.share = match too_long {
             true => (self.share * DECREASE).max(MIN_SHARE),
-            false => (self.share + INCREASE * intervals).min(1.0),
+            false => (self.share * INCREASE.powf(intervals)).min(1.0),
         };
     }
 }
--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -4,6 +4,8 @@
 mod draw;
 #[cfg(test)]
 mod tests;
+mod told;
 
 pub use controller::AdmissionController;
 pub use draw::Draw;
+pub use told::ToldShare;
--- a/crates/policy/src/admission/tests.rs
+++ b/crates/policy/src/admission/tests.rs
@@ -35,12 +35,12 @@
 fn one_rank_in_a_flood_leaves_the_share_of_another_alone() {
     let now = Instant::now();
     let mut controller = AdmissionController::default();
-    for ms in 0..1_000 {
+    for ms in 0..3_000 {
         let now = now + Duration::from_millis(ms);
         controller.note_wait(3, IN_ALL, IN_ALL, now);
         controller.note_wait(1, Duration::ZERO, IN_ALL, now);
     }
-    let now = now + Duration::from_secs(1);
+    let now = now + Duration::from_secs(3);
     assert!(controller.share(3, now) < 0.1);
     assert_eq!(controller.share(1, now), 1.0);
 }
