Replica choice: time to another zone, given-up attempts, forgetting

Cause: a slow replica at home stayed the first choice. Another zone counted as 4 times the latency (20 ms for a replica of 5 ms), and an attempt that lost to its hedge counted as only the 10 ms until then. Change: another zone adds 3 ms; a given-up attempt counts 4 times what it waited; what is known fades with a half-life of 20 s, so that a replica that was slow is tried again.

--- a/crates/host/src/gather/shard.rs
+++ b/crates/host/src/gather/shard.rs
@@ -197,14 +197,14 @@
         let latency = present.saturating_duration_since(sent);
         let mut beliefs = lock(&self.beliefs);
         match &result {
-            Ok(_) => beliefs.replicas.note_ran(&searcher, latency),
+            Ok(_) => beliefs.replicas.note_ran(&searcher, latency, present),
             Err(failure) => match &failure.reason {
                 FailureReason::WrongSnapshot(_) => {
-                    beliefs.replicas.note_abandoned(&searcher, latency);
+                    beliefs.replicas.note_ended(&searcher);
                     beliefs.note_lack(&searcher, &collection, snapshot, present);
                 }
                 FailureReason::Draining => {
-                    beliefs.replicas.note_abandoned(&searcher, latency);
+                    beliefs.replicas.note_ended(&searcher);
                     beliefs.replicas.note_draining(&searcher, present);
                 }
                 FailureReason::PeerLost
@@ -212,7 +212,7 @@
                 | FailureReason::Shed
                 | FailureReason::QueueFull
                 | FailureReason::Expired => {
-                    beliefs.replicas.note_abandoned(&searcher, latency);
+                    beliefs.replicas.note_ended(&searcher);
                 }
                 _ => beliefs.replicas.note_failed(&searcher, present),
             },
@@ -252,10 +252,11 @@
 impl<E: Edges> Drop for InFlight<'_, E> {
     fn drop(&mut self) {
         if !self.ended {
-            let waited = now().saturating_duration_since(self.sent);
+            let present = now();
+            let waited = present.saturating_duration_since(self.sent);
             lock(&self.node.beliefs)
                 .replicas
-                .note_abandoned(self.searcher, waited);
+                .note_abandoned(self.searcher, waited, present);
         }
     }
 }
--- a/crates/policy/src/routing/replica.rs
+++ b/crates/policy/src/routing/replica.rs
@@ -21,14 +21,23 @@
 /// Factor by which a recent failure makes a searcher look slower.
 const FAILURE_PENALTY: f64 = 20.0;
 
-/// Factor by which a searcher in another zone looks slower.
-const REMOTE_PENALTY: f64 = 4.0;
+/// What the way to another zone and back adds, in seconds.
+const REMOTE_LATENCY: f64 = 0.003;
+
+/// An attempt that was given up would have taken longer; this factor stands for how much.
+const ABANDONED_FACTOR: f64 = 4.0;
+
+/// Time in which half of what is known of a searcher's latency is forgotten, so that one that was
+/// slow is tried again.
+const HALF_LIFE: Duration = Duration::from_secs(20);
 
 /// What was observed of one searcher.
 #[derive(Debug, Clone)]
 pub struct ReplicaLoad {
     /// Moving average of the latency, in seconds.
     latency: f64,
+    /// When the latency was last observed.
+    seen: Option<Instant>,
     /// Attempts sent and not yet answered.
     in_flight: u32,
     /// Until when a failure counts.
@@ -41,6 +50,7 @@
     fn default() -> Self {
         Self {
             latency: UNKNOWN_LATENCY,
+            seen: None,
             in_flight: 0,
             failed_until: None,
             draining_until: None,
@@ -51,16 +61,31 @@
 impl ReplicaLoad {
     /// Returns the expected cost of one more attempt, in seconds.
     fn cost(&self, local: bool, now: Instant) -> f64 {
-        let mut cost = self.latency * f64::from(self.in_flight + 1);
+        let mut cost = self.expected_latency(now) * f64::from(self.in_flight + 1);
         if self.failed_until.is_some_and(|until| now < until) {
             cost *= FAILURE_PENALTY;
         }
         if !local {
-            cost *= REMOTE_PENALTY;
+            cost += REMOTE_LATENCY;
         }
         cost
     }
 
+    fn expected_latency(&self, now: Instant) -> f64 {
+        let Some(seen) = self.seen else {
+            return self.latency;
+        };
+        let age = now.saturating_duration_since(seen).as_secs_f64();
+        let kept = 0.5_f64.powf(age / HALF_LIFE.as_secs_f64());
+        UNKNOWN_LATENCY + kept * (self.latency - UNKNOWN_LATENCY)
+    }
+
+    fn observe(&mut self, latency: f64, now: Instant) {
+        let present = self.expected_latency(now);
+        self.latency = present + LATENCY_WEIGHT * (latency - present);
+        self.seen = Some(now);
+    }
+
     fn is_draining(&self, now: Instant) -> bool {
         self.draining_until.is_some_and(|until| now < until)
     }
@@ -97,10 +122,10 @@
     }
 
     /// Notes an attempt that ran.
-    pub fn note_ran(&mut self, id: &SearcherId, latency: Duration) {
+    pub fn note_ran(&mut self, id: &SearcherId, latency: Duration, now: Instant) {
         let load = self.load(id);
         load.in_flight = load.in_flight.saturating_sub(1);
-        load.latency += LATENCY_WEIGHT * (latency.as_secs_f64() - load.latency);
+        load.observe(latency.as_secs_f64(), now);
         load.failed_until = None;
     }
 
@@ -111,13 +136,19 @@
         load.failed_until = Some(now + FAILURE_MEMORY);
     }
 
-    /// Notes an attempt that was given up, which says nothing good of the searcher's latency.
-    pub fn note_abandoned(&mut self, id: &SearcherId, waited: Duration) {
+    /// Notes an attempt that ended without a word about the searcher's latency.
+    pub fn note_ended(&mut self, id: &SearcherId) {
+        let load = self.load(id);
+        load.in_flight = load.in_flight.saturating_sub(1);
+    }
+
+    /// Notes an attempt that was given up while it was running.
+    pub fn note_abandoned(&mut self, id: &SearcherId, waited: Duration, now: Instant) {
         let load = self.load(id);
         load.in_flight = load.in_flight.saturating_sub(1);
-        let waited = waited.as_secs_f64();
-        if waited > load.latency {
-            load.latency += LATENCY_WEIGHT * (waited - load.latency);
+        let least = waited.as_secs_f64() * ABANDONED_FACTOR;
+        if least > load.expected_latency(now) {
+            load.observe(least, now);
         }
     }
 
--- a/crates/policy/src/routing/tests.rs
+++ b/crates/policy/src/routing/tests.rs
@@ -71,3 +71,20 @@
         "{wait:?}"
     );
 }
+
+#[test]
+fn a_slow_replica_at_home_loses_to_one_in_another_zone_and_is_tried_again_later() {
+    let now = Instant::now();
+    let ids: [SearcherId; 2] = ["home".into(), "away".into()];
+    let replicas = || [(&ids[0], true), (&ids[1], false)];
+    let mut table = ReplicaTable::default();
+    for _ in 0..20 {
+        table.note_sent(&ids[0]);
+        table.note_abandoned(&ids[0], Duration::from_millis(10), now);
+        table.note_sent(&ids[1]);
+        table.note_ran(&ids[1], Duration::from_millis(5), now);
+    }
+    assert_eq!(table.choose(replicas(), now), Some(&ids[1]));
+    let later = now + Duration::from_secs(120);
+    assert_eq!(table.choose(replicas(), later), Some(&ids[0]));
+}
