Control cost: no connection to every peer, no host list or value read twice

Changes: the list and the values are read again only when their entity tag has changed, which also shows a second text under one version; the list is read more seldom the larger the fleet; unused peer connections close after 15 s. A searcher that the list names as leaving stays so whatever it says; before, its own health answer overrode the list (test a_searcher_that_is_listed_as_ leaving_gets_no_work_though_it_says_that_it_stays).

--- a/bin/galenaloft-standin/src/platform/service.rs
+++ b/bin/galenaloft-standin/src/platform/service.rs
@@ -15,14 +15,17 @@
 use galenaloft_platform::wire::HostState;
 use galenaloft_platform::wire::ListedHost;
 use galenaloft_platform::wire::Role;
+use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::header::ETAG;
 use hyper::header::HeaderValue;
+use hyper::header::IF_NONE_MATCH;
 use serde::Serialize;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::platform::Control;
 
@@ -34,7 +37,7 @@
     let path = req.uri().path().to_owned();
     let query = req.uri().query().unwrap_or_default().to_owned();
     match (req.method(), path.as_str()) {
-        (&Method::GET, HOSTS_PATH) => hosts(&control),
+        (&Method::GET, HOSTS_PATH) => hosts(&control, req.headers()),
         (&Method::GET, _) if path.starts_with(CONFIG_PATH) => {
             config(&control, &path[CONFIG_PATH.len()..], &query).await
         }
@@ -59,36 +62,34 @@
     let end = Instant::now() + Duration::from_millis(number("wait_ms")).min(MAX_WAIT);
     loop {
         let changed = state.changed.notified();
-        let version = match state.read(key) {
+        let tag = match state.read(key) {
             Err(_) => return text(StatusCode::SERVICE_UNAVAILABLE, "the platform is down\n"),
-            Ok(Some(value)) if value.version > after => return tagged(value.version, &value),
-            Ok(Some(value)) => value.version,
-            Ok(None) => 0,
+            Ok(Some(value)) if value.version > after => return message(&value),
+            Ok(Some(value)) => format!(
+                "\"{}.{:x}\"",
+                value.version,
+                xxh3_64(value.value.as_bytes())
+            ),
+            Ok(None) => "\"0\"".to_owned(),
         };
         if timeout_at(end, changed).await.is_err() {
-            return unchanged(version);
+            return unchanged(&tag);
         }
     }
 }
 
-fn tagged(version: u32, body: &impl Serialize) -> Reply {
-    let mut reply = message(body);
-    set_version(&mut reply, version);
-    reply
-}
-
-fn unchanged(version: u32) -> Reply {
+fn unchanged(tag: &str) -> Reply {
     let mut reply = text(StatusCode::NOT_MODIFIED, Vec::new());
-    set_version(&mut reply, version);
+    set_tag(&mut reply, tag);
     reply
 }
 
-fn set_version(reply: &mut Reply, version: u32) {
-    let tag = HeaderValue::from_str(&format!("\"{version}\"")).expect("digits make a header");
+fn set_tag(reply: &mut Reply, tag: &str) {
+    let tag = HeaderValue::from_str(tag).expect("digits make a header");
     reply.headers_mut().insert(ETAG, tag);
 }
 
-fn hosts(control: &Control) -> Reply {
+fn hosts(control: &Control, headers: &HeaderMap) -> Reply {
     let state = |id: &str| match control.platform.is_leaving(id) {
         true => HostState::Leaving,
         false => HostState::Live,
@@ -110,9 +111,20 @@
             zone: searcher.zone,
             address: searcher.address,
         });
-    message(&wire::HostList {
+    let list = wire::HostList {
         hosts: entry_hosts.chain(searchers).collect(),
-    })
+    };
+    let mut reply = message(&list);
+    let body = serde_json::to_vec(&list).expect("messages are always valid JSON");
+    let tag = format!("\"{:x}\"", xxh3_64(&body));
+    if headers
+        .get(IF_NONE_MATCH)
+        .is_some_and(|known| *known == tag)
+    {
+        return unchanged(&tag);
+    }
+    set_tag(&mut reply, &tag);
+    reply
 }
 
 /// Builds a JSON reply.
--- a/bin/galenaloftd/tests/fleet/mod.rs
+++ b/bin/galenaloftd/tests/fleet/mod.rs
@@ -221,6 +221,12 @@
             .unwrap()
     }
 
+    /// Returns how many attempts a searcher received.
+    pub async fn received(&self, searcher: &str) -> u64 {
+        let stats: Value = serde_json::from_str(&self.stats().await.unwrap()).unwrap();
+        stats["received_by_searcher"][searcher].as_u64().unwrap()
+    }
+
     pub async fn fault(&self, searcher: &str, fault: &str) {
         let body = json!({"searcher": searcher, "fault": fault, "factor": 100});
         self.switch("searcher", &body).await;
--- a/bin/galenaloftd/tests/processes.rs
+++ b/bin/galenaloftd/tests/processes.rs
@@ -259,6 +259,26 @@
     assert!(fleet.search(0).await.unwrap().complete);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_searcher_that_is_listed_as_leaving_gets_no_work_though_it_says_that_it_stays() {
+    let fleet = Fleet::start(32_600, 2).await;
+    assert!(fleet.search(0).await.unwrap().complete);
+    fleet
+        .switch("leaving", &json!({"host": "entries-2", "leaving": true}))
+        .await;
+    sleep(Duration::from_secs(3)).await;
+    let before = fleet.received("entries-2").await;
+    for host in [0, 1, 0, 1] {
+        assert!(!fleet.search(host).await.unwrap().complete);
+    }
+    assert_eq!(fleet.received("entries-2").await, before);
+    fleet
+        .switch("leaving", &json!({"host": "entries-2", "leaving": false}))
+        .await;
+    let back = async |fleet: &Fleet| fleet.search(1).await.is_ok_and(|answer| answer.complete);
+    fleet.until("it gets work again", back).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn too_many_connections_leave_the_others_alone() {
     let fleet = Fleet::start(32_400, 1).await;
--- a/crates/host/src/edges/mod.rs
+++ b/crates/host/src/edges/mod.rs
@@ -7,9 +7,9 @@
 
 use galenaloft_http::HttpError;
 use galenaloft_peer::Connector;
+use galenaloft_platform::ListRead;
 use galenaloft_platform::PlatformError;
 use galenaloft_platform::Watched;
-use galenaloft_platform::wire::HostList;
 use galenaloft_policy::attempt::AttemptFailure;
 use galenaloft_policy::attempt::AttemptRequest;
 use galenaloft_policy::ids::AttemptId;
@@ -58,8 +58,8 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Watched, PlatformError>> + Send;
 
-    /// Reads the host list.
-    fn hosts(&self) -> impl Future<Output = Result<HostList, PlatformError>> + Send;
+    /// Reads the host list unless its entity tag is still `tag`.
+    fn hosts(&self, tag: &str) -> impl Future<Output = Result<ListRead, PlatformError>> + Send;
 }
 
 /// All edges of one host.
--- a/crates/host/src/edges/real.rs
+++ b/crates/host/src/edges/real.rs
@@ -5,10 +5,10 @@
 
 use galenaloft_http::HttpError;
 use galenaloft_peer::TcpConnector;
+use galenaloft_platform::ListRead;
 use galenaloft_platform::PlatformClient;
 use galenaloft_platform::PlatformError;
 use galenaloft_platform::Watched;
-use galenaloft_platform::wire::HostList;
 use galenaloft_policy::attempt::AttemptFailure;
 use galenaloft_policy::attempt::AttemptRequest;
 use galenaloft_policy::ids::AttemptId;
@@ -78,7 +78,10 @@
             .await
     }
 
-    async fn hosts(&self) -> Result<HostList, PlatformError> {
-        PlatformClient::connect(self.address).await?.hosts().await
+    async fn hosts(&self, tag: &str) -> Result<ListRead, PlatformError> {
+        PlatformClient::connect(self.address)
+            .await?
+            .hosts(tag)
+            .await
     }
 }
--- a/crates/host/src/gather/route.rs
+++ b/crates/host/src/gather/route.rs
@@ -37,7 +37,7 @@
             Some(owner) if owner.host != self.settings.host => {
                 self.run_at_peer(&owner, req).await?
             }
-            Some(_) | None => self.owner.execute(spec, req, now()).await,
+            Some(_) | None => self.run_as_owner(spec, req).await,
         };
         lock(&self.beliefs).note_admitted(&spec.id, rank, reply.admitted, now());
         reply.result
--- a/crates/host/src/gather/shard.rs
+++ b/crates/host/src/gather/shard.rs
@@ -168,6 +168,7 @@
         let submits = !plan.kind.operation.is_idempotent();
         let usable = shard.replicas.iter().filter(|id| {
             !tried.contains(id)
+                && !self.is_listed_leaving(id)
                 && beliefs.is_usable(id, collection, snapshot, present)
                 && (submits || beliefs.admits_at(id, plan.kind.rank, plan.draw, present))
         });
--- a/crates/host/src/node/background.rs
+++ b/crates/host/src/node/background.rs
@@ -71,6 +71,7 @@
         sleep(SWEEP_PERIOD).await;
         let present = now();
         node.owner.close_idle(present);
+        node.links.close_idle(present);
         lock(&node.tickets).forget_expired(present);
         lock(&node.beliefs).forget_passed(present);
     }
--- a/crates/host/src/node/model.rs
+++ b/crates/host/src/node/model.rs
@@ -13,6 +13,11 @@
 use galenaloft_config::settings::Settings;
 use galenaloft_peer::PeerLinks;
 use galenaloft_peer::PublishedKey;
+use galenaloft_policy::attempt::AttemptFailure;
+use galenaloft_policy::attempt::AttemptReply;
+use galenaloft_policy::attempt::AttemptRequest;
+use galenaloft_policy::attempt::FailureReason;
+use galenaloft_policy::catalogue::SearcherSpec;
 use galenaloft_policy::heartbeat::Heartbeat;
 use galenaloft_policy::ids::AttemptId;
 use galenaloft_policy::ids::Incarnation;
@@ -210,11 +215,26 @@
         }
     }
 
-    /// Notes that a searcher is leaving according to the platform's list.
-    pub(crate) fn note_leaving(&self, searcher: &SearcherId) {
-        lock(&self.beliefs).replicas.note_draining(searcher, now());
-        self.owner.note_leaving(searcher);
-        lock(&self.leaving).insert(searcher.clone());
+    /// Returns whether a searcher is leaving according to the platform's list, which counts
+    /// whatever the searcher itself says.
+    pub(crate) fn is_listed_leaving(&self, searcher: &SearcherId) -> bool {
+        lock(&self.leaving).contains(searcher)
+    }
+
+    /// Runs an attempt on a searcher that this host schedules.
+    pub(crate) async fn run_as_owner(
+        &self,
+        spec: &SearcherSpec,
+        req: AttemptRequest,
+    ) -> AttemptReply {
+        if self.is_listed_leaving(&spec.id) {
+            let result = Err(AttemptFailure::not_run(FailureReason::Draining));
+            return AttemptReply {
+                result,
+                admitted: 1.0,
+            };
+        }
+        self.owner.execute(spec, req, now()).await
     }
 
     /// Returns the addresses of up to `count` peers, each host asking others of its own choice.
--- a/crates/host/src/node/peer_service.rs
+++ b/crates/host/src/node/peer_service.rs
@@ -90,7 +90,7 @@
             .as_ref()
             .and_then(|layout| layout.searchers.get(&req.searcher));
         match spec {
-            Some(spec) => node.owner.execute(spec, req, now()).await,
+            Some(spec) => node.run_as_owner(spec, req).await,
             None => AttemptReply {
                 result: Err(AttemptFailure::not_run(FailureReason::NoReplica)),
                 admitted: 1.0,
--- a/crates/host/src/owner/registry.rs
+++ b/crates/host/src/owner/registry.rs
@@ -100,13 +100,6 @@
         *lock(&self.floors) = floors;
     }
 
-    /// Notes that a searcher is leaving according to the platform's list.
-    pub fn note_leaving(&self, searcher: &SearcherId) {
-        if let Some(entry) = lock(&self.queues).get(searcher) {
-            entry.queue.set_draining(true);
-        }
-    }
-
     /// Closes the queues that nobody uses any more.
     pub fn close_idle(&self, now: Instant) {
         let Some(since) = now.checked_sub(IDLE) else {
--- a/crates/host/src/publish/watcher.rs
+++ b/crates/host/src/publish/watcher.rs
@@ -1,5 +1,6 @@
 //! Keeping the published values up to date from the platform and from peers.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,12 +8,14 @@
 use futures::future::join_all;
 use galenaloft_peer::PublishedKey;
 use galenaloft_platform::LAYOUT_KEY;
+use galenaloft_platform::ListRead;
 use galenaloft_platform::SHEET_KEY;
 use galenaloft_platform::Watched;
 use galenaloft_platform::wire::HostState as ListedState;
 use galenaloft_platform::wire::ListedHost;
 use galenaloft_platform::wire::Role;
 use galenaloft_policy::ids::Revision;
+use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::membership::HostFact;
 use galenaloft_policy::membership::HostState;
 use galenaloft_policy::revision::Stamp;
@@ -48,6 +51,10 @@
 /// Hosts of each availability zone that watch a value; the others learn it from them.
 const WATCHERS_PER_ZONE: usize = 2;
 
+/// What each known host adds to that period, so that all hosts together read it at most 400 times
+/// a second.
+const HOST_LIST_SHARE: Duration = Duration::from_micros(2_500);
+
 /// Longest wait for a value from a peer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -62,53 +69,68 @@
     }
 }
 
-/// Watches one key of the platform as long as this host is one of its zone's watchers, and reads
-/// it now and then otherwise.
+/// Version and entity tag that the platform last told of a key.
+#[derive(Debug, Default)]
+struct Seen {
+    version: Revision,
+    tag: String,
+}
+
+/// Watches one key of the platform as long as this host is one of its zone's watchers, and looks
+/// at it now and then otherwise.
 ///
 /// A watch waits for a version above the last one offered, not above the one in force: a version
 /// that was refused must not be offered again and again.
 pub async fn run_watcher<E: Edges>(node: Arc<Node<E>>, key: PublishedKey) {
-    let mut seen = 0;
+    let mut seen = Seen::default();
     loop {
-        let watches = is_watcher(&node, key);
-        if watches {
-            seen = watch(&node, key, seen, WATCH).await.unwrap_or(seen);
-        }
-        // A second text under the version last seen is noticed only by reading it again.
-        let read = watch(&node, key, seen.saturating_sub(1), Duration::ZERO).await;
-        seen = read.unwrap_or(seen);
-        let pause = match (read, watches) {
-            (Some(_), true) => READ_PAUSE,
-            (Some(_), false) => POLL + node.jitter(JITTER),
-            (None, _) => RETRY_PAUSE + node.jitter(JITTER),
+        let watches = is_watcher(&node, name_of(key));
+        let wait = if watches { WATCH } else { Duration::ZERO };
+        let reached = watch(&node, key, &mut seen, wait).await;
+        let pause = match (reached, watches) {
+            (true, true) => READ_PAUSE,
+            (true, false) => POLL + node.jitter(JITTER),
+            (false, _) => RETRY_PAUSE + node.jitter(JITTER),
         };
         sleep(pause).await;
     }
 }
 
-/// Waits for a version above `after` and offers it. Returns the platform's version, or `None` if
-/// the platform was not reached.
+/// Waits for a version above the one last seen, or for another text under it, and offers it.
+/// Returns whether the platform was reached.
 async fn watch<E: Edges>(
     node: &Node<E>,
     key: PublishedKey,
-    after: Revision,
+    seen: &mut Seen,
     wait: Duration,
-) -> Option<Revision> {
-    let offered = match node.platform.watch(name_of(key), after, wait).await {
+) -> bool {
+    let mut watched = node.platform.watch(name_of(key), seen.version, wait).await;
+    if let Ok(Watched::Unchanged { version, tag }) = &watched
+        && *version > 0
+        && *tag != seen.tag
+    {
+        seen.tag.clone_from(tag);
+        let below = version - 1;
+        watched = node
+            .platform
+            .watch(name_of(key), below, Duration::ZERO)
+            .await;
+    }
+    match watched {
         Ok(Watched::Value(value)) => {
             node.offer(key, value.version, &value.value);
-            value.version
+            seen.version = value.version;
         }
-        Ok(Watched::Unchanged(version)) => version,
+        Ok(Watched::Unchanged { version, .. }) => seen.version = version,
         Err(e) => {
             node.alarms
                 .raise(Alarm::PlatformUnreachable, &e.to_string());
-            return None;
+            return false;
         }
-    };
+    }
     node.alarms.clear(Alarm::PlatformUnreachable);
-    note_platform_version(node, key, offered);
-    Some(offered)
+    note_platform_version(node, key, seen.version);
+    true
 }
 
 fn note_platform_version<E: Edges>(node: &Node<E>, key: PublishedKey, offered: Revision) {
@@ -128,14 +150,15 @@
     }
 }
 
-fn is_watcher<E: Edges>(node: &Node<E>, key: PublishedKey) -> bool {
+/// Returns whether this host is one of those of its zone that watch `what` for the others.
+fn is_watcher<E: Edges>(node: &Node<E>, what: &str) -> bool {
     let members = lock(&node.members);
     let zone = &node.settings.zone;
     let hosts = members
         .working()
         .filter(|fact| fact.zone == *zone)
         .map(|fact| &fact.host);
-    let ranked = ranking(name_of(key), hosts);
+    let ranked = ranking(what, hosts);
     ranked
         .iter()
         .take(WATCHERS_PER_ZONE)
@@ -156,9 +179,10 @@
 /// Asks the platform and some peers once for both values and for the live hosts, all at the same
 /// time.
 pub async fn refresh<E: Edges>(node: &Arc<Node<E>>) {
-    read_host_list(node).await;
+    read_host_list(node, &mut String::new()).await;
     let keys = [PublishedKey::Sheet, PublishedKey::Layout];
-    let platform = keys.map(|key| watch(node, key, 0, Duration::ZERO));
+    let platform =
+        keys.map(|key| async move { watch(node, key, &mut Seen::default(), Duration::ZERO).await });
     let peers = node
         .peers_to_ask(MAX_ASKED)
         .into_iter()
@@ -187,27 +211,34 @@
     }
 }
 
-/// Reads the host list now and then.
+/// Reads the host list again and again; the larger the fleet, the more seldom each host does.
 pub async fn run_host_list<E: Edges>(node: Arc<Node<E>>) {
+    let mut tag = String::new();
     loop {
-        read_host_list(&node).await;
-        sleep(HOST_LIST_PERIOD + node.jitter(JITTER / 10)).await;
+        read_host_list(&node, &mut tag).await;
+        let hosts = lock(&node.members).facts().count() as u32;
+        let period = HOST_LIST_PERIOD.max(HOST_LIST_SHARE * hosts);
+        sleep(period + node.jitter(period / 10)).await;
     }
 }
 
-async fn read_host_list<E: Edges>(node: &Node<E>) {
-    let Ok(list) = node.platform.hosts().await else {
+/// Reads the host list unless its entity tag is still `tag`.
+async fn read_host_list<E: Edges>(node: &Node<E>, tag: &mut String) {
+    let Ok(ListRead::List(list, new_tag)) = node.platform.hosts(tag).await else {
         return;
     };
+    *tag = new_tag;
+    let mut leaving = BTreeSet::new();
     for listed in list.hosts {
         match listed.role() {
             Role::EntryHost => learn_entry_host(node, &listed),
             Role::Searcher if listed.state() == ListedState::Leaving => {
-                node.note_leaving(&listed.id.as_str().into());
+                leaving.insert(SearcherId::from(listed.id));
             }
             Role::Searcher | Role::Unspecified => {}
         }
     }
+    *lock(&node.leaving) = leaving;
 }
 
 fn learn_entry_host<E: Edges>(node: &Node<E>, listed: &ListedHost) {
--- a/crates/host/tests/world/platform.rs
+++ b/crates/host/tests/world/platform.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use galenaloft_host::edges::PlatformLink;
+use galenaloft_platform::ListRead;
 use galenaloft_platform::PlatformError;
 use galenaloft_platform::Watched;
 use galenaloft_platform::wire::ConfigValue;
@@ -106,15 +107,18 @@
                 values.get(key).cloned()
             };
             let version = value.as_ref().map_or(0, |value| value.version);
+            let tag = value
+                .as_ref()
+                .map_or(String::new(), |v| format!("{version}.{}", v.value));
             match value {
                 Some(value) if version > after => return Ok(Watched::Value(value)),
-                _ if Instant::now() >= end => return Ok(Watched::Unchanged(version)),
+                _ if Instant::now() >= end => return Ok(Watched::Unchanged { version, tag }),
                 _ => sleep(LOOK).await,
             }
         }
     }
 
-    async fn hosts(&self) -> Result<HostList, PlatformError> {
+    async fn hosts(&self, _: &str) -> Result<ListRead, PlatformError> {
         self.reach().await?;
         let hosts = (0..HOSTS).map(|host| ListedHost {
             id: host_name(host),
@@ -123,8 +127,7 @@
             address: host_address(host).to_string(),
             state: HostState::Live.into(),
         });
-        Ok(HostList {
-            hosts: hosts.collect(),
-        })
+        let hosts = hosts.collect();
+        Ok(ListRead::List(HostList { hosts }, String::new()))
     }
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -13,6 +13,7 @@
 use hyper::client::conn::http1;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HOST;
+use hyper::header::IF_NONE_MATCH;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -69,6 +70,19 @@
         self.send_request(req).await
     }
 
+    /// Reads a path unless its entity tag is still `tag`; an empty tag always reads.
+    pub async fn get(&mut self, path: &str, tag: &str) -> Result<Response<Bytes>, HttpError> {
+        let mut req = Request::builder()
+            .uri(path)
+            .header(HOST, self.peer.to_string());
+        if !tag.is_empty() {
+            req = req.header(IF_NONE_MATCH, tag);
+        }
+        let req = req.body(Full::new(Bytes::new()));
+        self.send_request(req.map_err(|e| HttpError::NotSent(e.to_string()))?)
+            .await
+    }
+
     /// Sends a prepared request and reads the whole reply.
     pub async fn send_request(
         &mut self,
--- a/crates/peer/src/links.rs
+++ b/crates/peer/src/links.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
@@ -20,6 +21,9 @@
 /// Deadline given to the transport, far beyond the time limit that each call has itself.
 const TRANSPORT_DEADLINE: Duration = Duration::from_secs(3600);
 
+/// How long an unused connection is kept.
+const IDLE: Duration = Duration::from_secs(15);
+
 /// A call to a peer that gave no reply.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PeerError {
@@ -31,7 +35,14 @@
 #[derive(Debug)]
 pub struct PeerLinks<C> {
     connector: C,
-    clients: Mutex<BTreeMap<SocketAddr, Arc<PeerClient>>>,
+    clients: Mutex<BTreeMap<SocketAddr, Link>>,
+}
+
+/// One connection and when it was last used.
+#[derive(Debug)]
+struct Link {
+    client: Arc<PeerClient>,
+    used: Instant,
 }
 
 impl<C: Connector> PeerLinks<C> {
@@ -72,29 +83,41 @@
         timeout(limit, exchange).await.map_err(lost)?
     }
 
+    /// Closes the connections that were not used for a while: in a large fleet each host probes
+    /// every other one in turn, and must not keep a connection to all of them.
+    pub fn close_idle(&self, now: Instant) {
+        self.lock().retain(|_, link| {
+            let idle = now.saturating_duration_since(link.used);
+            idle < IDLE || Arc::strong_count(&link.client) > 1
+        });
+    }
+
     async fn client(&self, address: SocketAddr) -> Result<Arc<PeerClient>, PeerError> {
-        if let Some(client) = self.lock().get(&address) {
-            return Ok(client.clone());
+        let now = tokio::time::Instant::now().into_std();
+        if let Some(link) = self.lock().get_mut(&address) {
+            link.used = now;
+            return Ok(link.client.clone());
         }
         let connected = self.connector.connect(address).await;
         let client = connected.map_err(|_| PeerError {
             verdict: Verdict::NotRun,
         })?;
         let client = Arc::new(client);
-        Ok(self.lock().entry(address).or_insert(client).clone())
+        let link = Link { client, used: now };
+        Ok(self.lock().entry(address).or_insert(link).client.clone())
     }
 
     fn forget(&self, address: SocketAddr, broken: &Arc<PeerClient>) {
         let mut clients = self.lock();
         if clients
             .get(&address)
-            .is_some_and(|client| Arc::ptr_eq(client, broken))
+            .is_some_and(|link| Arc::ptr_eq(&link.client, broken))
         {
             clients.remove(&address);
         }
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, Arc<PeerClient>>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Link>> {
         self.clients.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -7,7 +7,6 @@
 use galenaloft_http::Connection;
 use galenaloft_http::HttpError;
 use galenaloft_policy::ids::Revision;
-use hyper::Method;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::ETAG;
@@ -55,8 +54,22 @@
 pub enum Watched {
     /// A value above the version that was asked for.
     Value(ConfigValue),
-    /// No such value; the platform has this version, 0 for none.
-    Unchanged(Revision),
+    /// No such value.
+    Unchanged {
+        /// Version that the platform has, 0 for none.
+        version: Revision,
+        /// Entity tag of the platform's value, which changes with its text.
+        tag: String,
+    },
+}
+
+/// What a read of the host list came to.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ListRead {
+    /// The list, with its entity tag.
+    List(HostList, String),
+    /// The list has the tag that was given.
+    Unchanged,
 }
 
 /// One connection to the platform.
@@ -84,38 +97,53 @@
             "{CONFIG_PATH}{key}?after={after}&wait_ms={}",
             wait.as_millis()
         );
-        let reply = self.get(&path, wait).await?;
+        let reply = self.get(&path, "", wait).await?;
         match reply.status() {
             StatusCode::OK => decode(reply.body()).map(Watched::Value),
-            StatusCode::NOT_MODIFIED => Ok(Watched::Unchanged(version_of(&reply))),
-            StatusCode::NOT_FOUND => Ok(Watched::Unchanged(0)),
+            StatusCode::NOT_MODIFIED => {
+                let tag = tag_of(&reply);
+                let version = version_of(&tag);
+                Ok(Watched::Unchanged { version, tag })
+            }
+            StatusCode::NOT_FOUND => Ok(Watched::Unchanged {
+                version: 0,
+                tag: String::new(),
+            }),
             other => Err(PlatformError::Status(other)),
         }
     }
 
-    /// Reads the host list.
-    pub async fn hosts(&mut self) -> Result<HostList, PlatformError> {
-        let reply = self.get(HOSTS_PATH, Duration::ZERO).await?;
+    /// Reads the host list unless its entity tag is still `tag`.
+    pub async fn hosts(&mut self, tag: &str) -> Result<ListRead, PlatformError> {
+        let reply = self.get(HOSTS_PATH, tag, Duration::ZERO).await?;
         match reply.status() {
-            StatusCode::OK => decode(reply.body()),
+            StatusCode::OK => Ok(ListRead::List(decode(reply.body())?, tag_of(&reply))),
+            StatusCode::NOT_MODIFIED => Ok(ListRead::Unchanged),
             other => Err(PlatformError::Status(other)),
         }
     }
 
-    async fn get(&mut self, path: &str, wait: Duration) -> Result<Response<Bytes>, PlatformError> {
-        let exchange = self
-            .connection
-            .send(Method::GET, path, "application/json", Bytes::new());
+    async fn get(
+        &mut self,
+        path: &str,
+        tag: &str,
+        wait: Duration,
+    ) -> Result<Response<Bytes>, PlatformError> {
+        let exchange = self.connection.get(path, tag);
         let reply = timeout(wait + REPLY_TIMEOUT, exchange);
         Ok(reply.await.map_err(|_| PlatformError::TimedOut)??)
     }
 }
 
-/// Returns the version in the reply's entity tag, or 0 without a readable one.
-fn version_of(reply: &Response<Bytes>) -> Revision {
+fn tag_of(reply: &Response<Bytes>) -> String {
     let tag = reply.headers().get(ETAG).and_then(|tag| tag.to_str().ok());
-    tag.and_then(|tag| tag.trim_matches('"').parse().ok())
-        .unwrap_or(0)
+    tag.unwrap_or_default().to_owned()
+}
+
+/// Returns the version at the start of an entity tag such as `"412.9f3a"`, or 0 without one.
+fn version_of(tag: &str) -> Revision {
+    let version = tag.trim_matches('"').split('.').next();
+    version.and_then(|digits| digits.parse().ok()).unwrap_or(0)
 }
 
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,6 +8,7 @@
 mod tests;
 pub mod wire;
 
+pub use client::ListRead;
 pub use client::PlatformClient;
 pub use client::PlatformError;
 pub use client::Watched;
--- /dev/null
+++ b/crates/policy/examples/ticket_memory.rs
@@ -0,0 +1,46 @@
+//! Prints the resident memory of ticket tables of growing size.
+
+use std::fs;
+use std::time::Duration;
+use std::time::Instant;
+
+use galenaloft_policy::ticket::StoredOutcome;
+use galenaloft_policy::ticket::TicketKey;
+use galenaloft_policy::ticket::TicketTable;
+use galenaloft_policy::verdict::Verdict;
+
+/// Size of a page, in kilobytes.
+const PAGE_KB: u64 = 4;
+
+fn resident_kb() -> u64 {
+    let text = fs::read_to_string("/proc/self/statm").expect("the system tells its memory");
+    let pages = text
+        .split_whitespace()
+        .nth(1)
+        .and_then(|pages| pages.parse::<u64>().ok());
+    pages.expect("the second field is a number") * PAGE_KB
+}
+
+fn main() {
+    let now = Instant::now();
+    let life = Duration::from_secs(600);
+    let mut table = TicketTable::new("h1".into(), 1, TicketKey(1, 2), life, usize::MAX, now);
+    println!("tickets kilobytes");
+    for step in 0..=4 {
+        println!("{} {}", step * 50_000, resident_kb());
+        for _ in 0..50_000 {
+            let ticket = table.issue(now).expect("the right is held");
+            table.begin(&ticket, 1, now);
+            let receipt = "billing-13-ec1b68253aa9bf83-1".to_owned();
+            let reason = String::new();
+            let verdict = Verdict::Ran;
+            let outcome = StoredOutcome {
+                verdict,
+                receipt,
+                reason,
+                digest: 1,
+            };
+            table.finish(&ticket, outcome);
+        }
+    }
+}
