--- a/bin/galenaloft-load/src/load/attempts.rs
+++ b/bin/galenaloft-load/src/load/attempts.rs
@@ -41,13 +41,8 @@
 }
 
 async fn metrics(host: SocketAddr) -> Option<String> {
-    let mut connection = Connection::connect(host, Duration::from_secs(1))
-        .await
-        .ok()?;
-    let reply = connection
-        .send(Method::GET, "/metrics", "text/plain", Bytes::new())
-        .await
-        .ok()?;
+    let mut connection = Connection::connect(host, Duration::from_secs(1)).await.ok()?;
+    let reply = connection.send(Method::GET, "/metrics", "text/plain", Bytes::new()).await.ok()?;
     String::from_utf8(reply.into_body().to_vec()).ok()
 }
 
--- a/bin/galenaloft-load/src/load/driver.rs
+++ b/bin/galenaloft-load/src/load/driver.rs
@@ -78,26 +78,15 @@
     while streams.join_next().await.is_some() {}
     let after = attempts::read(&options.operators).await;
     let kinds = options.streams.iter().map(|stream| {
-        let tally = locked(&shared.tallies)
-            .remove(&stream.name)
-            .unwrap_or_default();
+        let tally = locked(&shared.tallies).remove(&stream.name).unwrap_or_default();
         let none = Attempts::default();
         let of = |kinds: &BTreeMap<String, Attempts>| *kinds.get(&stream.name).unwrap_or(&none);
         let extra = (!options.operators.is_empty()).then(|| of(&after).extra_load(&of(&before)));
-        KindOutcome {
-            name: stream.name.clone(),
-            rank: stream.kind.rank,
-            tally,
-            extra_load: extra,
-        }
+        KindOutcome { name: stream.name.clone(), rank: stream.kind.rank, tally, extra_load: extra }
     });
     let kinds = kinds.collect();
     let lateness = locked(&shared.lateness).clone();
-    Ok(Outcome {
-        kinds,
-        counted: options.length - options.warm_up,
-        lateness,
-    })
+    Ok(Outcome { kinds, counted: options.length - options.warm_up, lateness })
 }
 
 /// Sends one kind at its rate, with exponential gaps.
@@ -115,10 +104,7 @@
         sleep_until(due).await;
         let counted = due >= start + options.warm_up;
         let host = options.hosts[rng.random_range(0..options.hosts.len())];
-        let draw = Draw {
-            random: rng.random(),
-            keys: options.keys,
-        };
+        let draw = Draw { random: rng.random(), keys: options.keys };
         let (shared, stream) = (shared.clone(), stream.clone());
         requests.spawn(async move {
             let late = due.elapsed();
@@ -126,10 +112,7 @@
             if counted {
                 let latency = due.elapsed();
                 let mut tallies = locked(&shared.tallies);
-                tallies
-                    .entry(stream.name.clone())
-                    .or_default()
-                    .add(ending, latency);
+                tallies.entry(stream.name.clone()).or_default().add(ending, latency);
                 drop(tallies);
                 let micros = u64::try_from(late.as_micros()).unwrap_or(MAX_LATE);
                 locked(&shared.lateness).saturating_record(micros);
--- a/bin/galenaloft-load/src/load/request.rs
+++ b/bin/galenaloft-load/src/load/request.rs
@@ -21,16 +21,8 @@
 use crate::options::Stream;
 
 /// Words that queries are made of.
-const WORDS: [&str; 8] = [
-    "altocumulus",
-    "cirrus",
-    "stratus",
-    "undulatus",
-    "gold",
-    "star",
-    "wedding",
-    "e",
-];
+const WORDS: [&str; 8] =
+    ["altocumulus", "cirrus", "stratus", "undulatus", "gold", "star", "wedding", "e"];
 
 /// How much longer than its deadline an answer is awaited.
 const PATIENCE: Duration = Duration::from_secs(15);
@@ -78,13 +70,7 @@
     match stream.kind.operation {
         Operation::Search => {
             let query = WORDS[(draw.random % WORDS.len() as u64) as usize].to_owned();
-            let answer = client
-                .search(&SearchRequest {
-                    kind,
-                    query,
-                    limit: 10,
-                })
-                .await?;
+            let answer = client.search(&SearchRequest { kind, query, limit: 10 }).await?;
             Ok(covered(&answer))
         }
         Operation::Fetch => {
@@ -92,17 +78,9 @@
             Ok(covered(&answer))
         }
         Operation::Submit => {
-            let ticket = client
-                .ticket(&TicketRequest { kind: kind.clone() })
-                .await?
-                .ticket;
+            let ticket = client.ticket(&TicketRequest { kind: kind.clone() }).await?.ticket;
             let body = format!("{:016x}", draw.random);
-            let req = SubmitRequest {
-                kind,
-                ticket,
-                key,
-                body,
-            };
+            let req = SubmitRequest { kind, ticket, key, body };
             client.submit(FILE_PATH, &req).await.map(|_| 1.0)
         }
     }
--- a/bin/galenaloft-load/src/options.rs
+++ b/bin/galenaloft-load/src/options.rs
@@ -75,11 +75,7 @@
             return Err(LoadError::Seconds(seconds, warm_up));
         }
         let sheet = load_sheet(&flags.sheet)?;
-        let streams = flags
-            .kind
-            .iter()
-            .map(|text| stream(text, &sheet))
-            .collect::<Result<_, _>>();
+        let streams = flags.kind.iter().map(|text| stream(text, &sheet)).collect::<Result<_, _>>();
         Ok(Self {
             hosts: flags.host,
             operators: flags.operators,
@@ -97,10 +93,8 @@
 
 fn load_sheet(path: &PathBuf) -> Result<Sheet, LoadError> {
     let file = path.display().to_string();
-    let text = fs::read_to_string(path).map_err(|e| ConfigError::Unreadable {
-        file: file.clone(),
-        why: e.to_string(),
-    })?;
+    let text = fs::read_to_string(path)
+        .map_err(|e| ConfigError::Unreadable { file: file.clone(), why: e.to_string() })?;
     Ok(Sheet::parse(&file, &text)?)
 }
 
@@ -112,9 +106,5 @@
     if !(rate > 0.0 && rate <= MAX_RATE) {
         return Err(bad());
     }
-    Ok(Stream {
-        name: name.to_owned(),
-        kind: kind.clone(),
-        rate,
-    })
+    Ok(Stream { name: name.to_owned(), kind: kind.clone(), rate })
 }
--- a/bin/galenaloft-load/src/report/plot.rs
+++ b/bin/galenaloft-load/src/report/plot.rs
@@ -34,11 +34,7 @@
 fn draw(outcome: &Outcome, path: &Path) -> Result<(), Box<dyn Error>> {
     let root = SVGBackend::new(path, SIZE).into_drawing_area();
     root.fill(&WHITE)?;
-    let slowest = outcome
-        .kinds
-        .iter()
-        .map(|kind| kind.tally.millis(1.0))
-        .fold(10.0, f64::max);
+    let slowest = outcome.kinds.iter().map(|kind| kind.tally.millis(1.0)).fold(10.0, f64::max);
     let mut chart = ChartBuilder::on(&root)
         .margin(15)
         .x_label_area_size(40)
@@ -55,17 +51,12 @@
             .draw_series(LineSeries::new(line(&kind.tally), colour.stroke_width(2)))?
             .label(kind.name.clone());
     }
-    chart
-        .configure_series_labels()
-        .border_style(Palette99::pick(0))
-        .draw()?;
+    chart.configure_series_labels().border_style(Palette99::pick(0)).draw()?;
     root.present()?;
     Ok(())
 }
 
 fn line(tally: &Tally) -> Vec<(f64, f64)> {
     let nines = (0..=POINTS).map(|i| MAX_NINES * f64::from(i) / f64::from(POINTS));
-    nines
-        .map(|n| (n, tally.millis(1.0 - 10_f64.powf(-n)).max(0.5)))
-        .collect()
+    nines.map(|n| (n, tally.millis(1.0 - 10_f64.powf(-n)).max(0.5))).collect()
 }
--- a/bin/galenaloft-load/src/report/table.rs
+++ b/bin/galenaloft-load/src/report/table.rs
@@ -26,8 +26,7 @@
             format!("{:.1}", tally.millis(0.999)),
             format!("{:.2}%", 100.0 * tally.mean_coverage()),
             format!("{whole:.1}%"),
-            kind.extra_load
-                .map_or("-".to_owned(), |extra| format!("{:.2}%", 100.0 * extra)),
+            kind.extra_load.map_or("-".to_owned(), |extra| format!("{:.2}%", 100.0 * extra)),
         ]);
     }
     let late = |quantile| outcome.lateness.value_at_quantile(quantile) as f64 / 1_000.0;
--- a/bin/galenaloft-standin/src/catalogue/generate.rs
+++ b/bin/galenaloft-standin/src/catalogue/generate.rs
@@ -32,9 +32,7 @@
         "asperitas",
         "radiatus",
     ],
-    &[
-        "Zermatt", "Lofoten", "Ulm", "Graz", "Sylt", "Davos", "Brocken", "Tromsø", "Chur", "Aachen",
-    ],
+    &["Zermatt", "Lofoten", "Ulm", "Graz", "Sylt", "Davos", "Brocken", "Tromsø", "Chur", "Aachen"],
 ];
 
 /// Balloon colours, forms and occasions.
@@ -94,15 +92,9 @@
     seed: u64,
     snapshot: u32,
 ) -> Vec<Document> {
-    let words = if scene.theme == "balloons" {
-        BALLOONS
-    } else {
-        CLOUDS
-    };
+    let words = if scene.theme == "balloons" { BALLOONS } else { CLOUDS };
     let grown = scene.documents + scene.documents / 100 * (snapshot - 1);
-    (0..grown)
-        .map(|number| document(scene, firms, seed, words, number))
-        .collect()
+    (0..grown).map(|number| document(scene, firms, seed, words, number)).collect()
 }
 
 fn document(
--- a/bin/galenaloft-standin/src/catalogue/layout.rs
+++ b/bin/galenaloft-standin/src/catalogue/layout.rs
@@ -65,17 +65,9 @@
             }
             let snapshot = snapshot(scene, collection, 1, collection.shards);
             let scene = collection.clone();
-            collections.push(Collection {
-                scene,
-                first_searcher,
-                snapshots: vec![snapshot],
-            });
-        }
-        Self {
-            scene: scene.clone(),
-            searchers,
-            collections,
+            collections.push(Collection { scene, first_searcher, snapshots: vec![snapshot] });
         }
+        Self { scene: scene.clone(), searchers, collections }
     }
 
     /// Returns all searchers.
@@ -86,11 +78,7 @@
     /// Returns the scene of the collection that a searcher serves.
     pub fn scene_of(&self, searcher: usize) -> &CollectionScene {
         let serves = |c: &&Collection| searcher < c.first_searcher + c.scene.searchers as usize;
-        let collection = self
-            .collections
-            .iter()
-            .find(serves)
-            .expect("every searcher serves one");
+        let collection = self.collections.iter().find(serves).expect("every searcher serves one");
         &collection.scene
     }
 
@@ -105,9 +93,7 @@
             Repartition::Grow => last.shards + last.shards.div_ceil(2),
         };
         let id = last.id + 1;
-        collection
-            .snapshots
-            .push(snapshot(scene, &collection.scene, id, shards));
+        collection.snapshots.push(snapshot(scene, &collection.scene, id, shards));
         if collection.snapshots.len() > PUBLISHED_SNAPSHOTS {
             collection.snapshots.remove(0);
         }
@@ -120,10 +106,7 @@
             name: c.scene.name.clone(),
             snapshots: c.snapshots.iter().map(|s| self.publish(c, s)).collect(),
         });
-        wire::Layout {
-            searchers: self.searchers.clone(),
-            collections: collections.collect(),
-        }
+        wire::Layout { searchers: self.searchers.clone(), collections: collections.collect() }
     }
 
     /// Returns the documents of every shard that a searcher holds.
@@ -156,10 +139,7 @@
                 replicas: replicas.collect(),
             }
         });
-        wire::Snapshot {
-            id: snapshot.id,
-            shards: shards.collect(),
-        }
+        wire::Snapshot { id: snapshot.id, shards: shards.collect() }
     }
 }
 
@@ -185,11 +165,7 @@
         let shard = shard_of(key_hash(&document.key), shards);
         by_shard[shard as usize].push(document);
     }
-    Snapshot {
-        id,
-        shards,
-        documents: by_shard,
-    }
+    Snapshot { id, shards, documents: by_shard }
 }
 
 /// Returns the indices of the searchers that hold a shard.
@@ -214,9 +190,7 @@
     for document in documents {
         *firms.entry(&document.firm).or_default() += 1;
     }
-    let count = |(firm, documents): (&str, u32)| wire::FirmDocuments {
-        firm: firm.to_owned(),
-        documents,
-    };
+    let count =
+        |(firm, documents): (&str, u32)| wire::FirmDocuments { firm: firm.to_owned(), documents };
     firms.into_iter().map(count).collect()
 }
--- a/bin/galenaloft-standin/src/options.rs
+++ b/bin/galenaloft-standin/src/options.rs
@@ -93,11 +93,7 @@
     /// Checks the texts of a scene and of its sheet. `file` is used in errors only.
     pub fn from_texts(file: &str, scene: &str, sheet: &str) -> Result<Self, StandinError> {
         let scene = Scene::parse(file, scene)?;
-        Ok(Self {
-            scene,
-            sheet: sheet.to_owned(),
-            life: Duration::from_secs(DEFAULT_SECONDS),
-        })
+        Ok(Self { scene, sheet: sheet.to_owned(), life: Duration::from_secs(DEFAULT_SECONDS) })
     }
 
     /// Checks a scene file, the sheet that it names, and the life in seconds.
@@ -110,20 +106,13 @@
         let scene = Scene::parse(&file, &read(path)?)?;
         let base = path.parent().unwrap_or(Path::new("."));
         let sheet = read(&base.join(&scene.sheet))?;
-        Ok(Self {
-            scene,
-            sheet,
-            life: Duration::from_secs(seconds),
-        })
+        Ok(Self { scene, sheet, life: Duration::from_secs(seconds) })
     }
 }
 
 fn read(path: &Path) -> Result<String, ConfigError> {
     let file = path.display().to_string();
-    fs::read_to_string(path).map_err(|e| ConfigError::Unreadable {
-        file,
-        why: e.to_string(),
-    })
+    fs::read_to_string(path).map_err(|e| ConfigError::Unreadable { file, why: e.to_string() })
 }
 
 impl Scene {
@@ -151,11 +140,7 @@
 
 fn names(field: &Field<'_>) -> Result<Vec<String>, ConfigError> {
     let names = each(field, |item| Ok(item.name()?.to_owned()))?;
-    if names.is_empty() {
-        Err(field.invalid("a list of at least one name"))
-    } else {
-        Ok(names)
-    }
+    if names.is_empty() { Err(field.invalid("a list of at least one name")) } else { Ok(names) }
 }
 
 fn each<T>(
@@ -181,23 +166,14 @@
     let cost = Duration::ZERO..=MAX_COST;
     let collection = CollectionScene {
         name: map.required("name", "a name")?.name()?.to_owned(),
-        theme: map
-            .required("theme", "clouds or balloons")?
-            .name()?
-            .to_owned(),
-        documents: map
-            .required("documents", "a number")?
-            .number(1..=10_000_000)?,
+        theme: map.required("theme", "clouds or balloons")?.name()?.to_owned(),
+        documents: map.required("documents", "a number")?.number(1..=10_000_000)?,
         shards: map.required("shards", "a number")?.number(1..=10_000)?,
         searchers: map.required("searchers", "a number")?.number(1..=10_000)?,
         replicas: map.required("replicas", "a number")?.number(1..=10)?,
         slots: map.required("slots", "a number")?.number(1..=1_000)?,
-        connections: map
-            .required("connections", "a number")?
-            .number(1..=10_000)?,
-        connect_cost: map
-            .required("connect-cost", "a duration")?
-            .duration(cost.clone())?,
+        connections: map.required("connections", "a number")?.number(1..=10_000)?,
+        connect_cost: map.required("connect-cost", "a duration")?.duration(cost.clone())?,
         service: map.required("service", "a duration")?.duration(cost)?,
     };
     map.finish()?;
--- a/bin/galenaloft-standin/src/platform/control.rs
+++ b/bin/galenaloft-standin/src/platform/control.rs
@@ -106,13 +106,7 @@
         searchers: Vec<SearcherProcess>,
     ) -> Self {
         let catalogue = Mutex::new(catalogue);
-        let control = Self {
-            scene,
-            platform,
-            log,
-            catalogue,
-            searchers,
-        };
+        let control = Self { scene, platform, log, catalogue, searchers };
         control.publish_layout();
         control
     }
@@ -125,16 +119,10 @@
                 self.platform.set_fault(fault);
                 format!("{fault:?}\n")
             }),
-            "/standin/publish" => decode(body).map(
-                |Publish {
-                     key,
-                     value,
-                     version,
-                 }| {
-                    let version = self.platform.publish(&key, value, version);
-                    format!("{key} is published as version {version}\n")
-                },
-            ),
+            "/standin/publish" => decode(body).map(|Publish { key, value, version }| {
+                let version = self.platform.publish(&key, value, version);
+                format!("{key} is published as version {version}\n")
+            }),
             "/standin/snapshot" => decode(body).and_then(|advance| self.advance(&advance)),
             "/standin/leaving" => decode(body).map(|Leaving { host, leaving }| {
                 self.platform.set_leaving(&host, leaving);
@@ -157,10 +145,7 @@
     pub fn stats(&self) -> Stats {
         let sum = |count: fn(&SearcherProcess) -> u64| self.searchers.iter().map(count).sum();
         let received = |searcher: &SearcherProcess| searcher.state.received.load(Ordering::Relaxed);
-        let by_searcher = self
-            .searchers
-            .iter()
-            .map(|s| (s.state.id.clone(), received(s)));
+        let by_searcher = self.searchers.iter().map(|s| (s.state.id.clone(), received(s)));
         Stats {
             received: sum(|s| s.state.received.load(Ordering::Relaxed)),
             overcommitted: sum(|s| s.state.overcommitted.load(Ordering::Relaxed)),
@@ -173,19 +158,12 @@
     pub fn runs(&self, query: &str) -> Runs {
         let (submissions, repeated) = self.log.summary();
         let one = parameters(query).get("submission").copied();
-        Runs {
-            submissions,
-            repeated,
-            count: one.map_or(0, |one| self.log.count(one)),
-        }
+        Runs { submissions, repeated, count: one.map_or(0, |one| self.log.count(one)) }
     }
 
     async fn searcher_fault(&self, body: &[u8]) -> Result<String, String> {
         let SearcherFault { searcher, fault } = decode(body)?;
-        let process = self
-            .searchers
-            .iter()
-            .find(|process| process.state.id == searcher);
+        let process = self.searchers.iter().find(|process| process.state.id == searcher);
         let process = process.ok_or_else(|| format!("there is no searcher `{searcher}`"))?;
         process.set_fault(fault).await.map_err(|e| e.to_string())?;
         Ok(format!("{searcher}: {fault:?}\n"))
@@ -216,9 +194,7 @@
     }
 
     fn catalogue(&self) -> MutexGuard<'_, Catalogue> {
-        self.catalogue
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.catalogue.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/bin/galenaloft-standin/src/platform/service.rs
+++ b/bin/galenaloft-standin/src/platform/service.rs
@@ -52,12 +52,7 @@
     let state = &control.platform;
     state.reads.fetch_add(1, Ordering::Relaxed);
     let parameters = parameters(query);
-    let number = |name| {
-        parameters
-            .get(name)
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(0)
-    };
+    let number = |name| parameters.get(name).and_then(|text| text.parse().ok()).unwrap_or(0);
     let after = number("after") as u32;
     let end = Instant::now() + Duration::from_millis(number("wait_ms")).min(MAX_WAIT);
     loop {
@@ -65,11 +60,9 @@
         let tag = match state.read(key) {
             Err(_) => return text(StatusCode::SERVICE_UNAVAILABLE, "the platform is down\n"),
             Ok(Some(value)) if value.version > after => return message(&value),
-            Ok(Some(value)) => format!(
-                "\"{}.{:x}\"",
-                value.version,
-                xxh3_64(value.value.as_bytes())
-            ),
+            Ok(Some(value)) => {
+                format!("\"{}.{:x}\"", value.version, xxh3_64(value.value.as_bytes()))
+            }
             Ok(None) => "\"0\"".to_owned(),
         };
         if timeout_at(end, changed).await.is_err() {
@@ -101,26 +94,18 @@
         address: host.peers.to_string(),
         state: state(&host.id).into(),
     });
-    let searchers = control
-        .listed_searchers()
-        .into_iter()
-        .map(|searcher| ListedHost {
-            state: state(&searcher.id).into(),
-            id: searcher.id,
-            role: Role::Searcher.into(),
-            zone: searcher.zone,
-            address: searcher.address,
-        });
-    let list = wire::HostList {
-        hosts: entry_hosts.chain(searchers).collect(),
-    };
+    let searchers = control.listed_searchers().into_iter().map(|searcher| ListedHost {
+        state: state(&searcher.id).into(),
+        id: searcher.id,
+        role: Role::Searcher.into(),
+        zone: searcher.zone,
+        address: searcher.address,
+    });
+    let list = wire::HostList { hosts: entry_hosts.chain(searchers).collect() };
     let mut reply = message(&list);
     let body = serde_json::to_vec(&list).expect("messages are always valid JSON");
     let tag = format!("\"{:x}\"", xxh3_64(&body));
-    if headers
-        .get(IF_NONE_MATCH)
-        .is_some_and(|known| *known == tag)
-    {
+    if headers.get(IF_NONE_MATCH).is_some_and(|known| *known == tag) {
         return unchanged(&tag);
     }
     set_tag(&mut reply, &tag);
@@ -135,8 +120,5 @@
 
 /// Splits a query string that needs no decoding.
 pub fn parameters(query: &str) -> BTreeMap<&str, &str> {
-    query
-        .split('&')
-        .filter_map(|pair| pair.split_once('='))
-        .collect()
+    query.split('&').filter_map(|pair| pair.split_once('=')).collect()
 }
--- a/bin/galenaloft-standin/src/platform/state.rs
+++ b/bin/galenaloft-standin/src/platform/state.rs
@@ -48,11 +48,7 @@
         let mut values = locked(&self.values);
         let next = values.present.get(key).map_or(1, |old| old.version + 1);
         let version = version.unwrap_or(next);
-        let published = ConfigValue {
-            key: key.to_owned(),
-            version,
-            value,
-        };
+        let published = ConfigValue { key: key.to_owned(), version, value };
         values.present.insert(key.to_owned(), published);
         drop(values);
         self.changed.notify_waiters();
--- a/bin/galenaloft-standin/src/run.rs
+++ b/bin/galenaloft-standin/src/run.rs
@@ -22,11 +22,8 @@
 use crate::searcher::SearcherState;
 
 /// Bounds on the platform's clients.
-const LIMITS: Limits = Limits {
-    connections: 4_096,
-    body: 16 * 1024 * 1024,
-    read_timeout: Duration::from_secs(60),
-};
+const LIMITS: Limits =
+    Limits { connections: 4_096, body: 16 * 1024 * 1024, read_timeout: Duration::from_secs(60) };
 
 /// Plays the scene on a runtime of its own until its life ends.
 pub fn run(options: Options) -> Result<(), StandinError> {
@@ -44,19 +41,15 @@
         let held = catalogue.held_by(index);
         let id = searcher.id.clone();
         let state = SearcherState::new(id, catalogue.scene_of(index), held, log.clone());
-        let address = searcher
-            .address
-            .parse()
-            .expect("the catalogue makes valid addresses");
+        let address = searcher.address.parse().expect("the catalogue makes valid addresses");
         searchers.push(SearcherProcess::start(state, address).await?);
     }
     let count = searchers.len();
     let platform = PlatformState::default();
     platform.publish(SHEET_KEY, sheet, None);
     let control = Arc::new(Control::new(scene, platform, log, catalogue, searchers));
-    let listener = TcpListener::bind(address)
-        .await
-        .map_err(|e| StandinError::Listen(address, e))?;
+    let listener =
+        TcpListener::bind(address).await.map_err(|e| StandinError::Listen(address, e))?;
     println!("{count} searchers and the platform at {address} are up.");
     let (_stop, stop_rx) = watch::channel(false);
     let server = Server::plain(listener, LIMITS);
--- a/bin/galenaloft-standin/src/searcher/handler.rs
+++ b/bin/galenaloft-standin/src/searcher/handler.rs
@@ -64,39 +64,24 @@
     let Ok(req) = wire::ShardRequest::decode(body) else {
         return Ok(refuse(StatusCode::BAD_REQUEST, &wire::Refusal::default()));
     };
-    let refusal = wire::Refusal {
-        attempt: req.attempt,
-        ..Default::default()
-    };
+    let refusal = wire::Refusal { attempt: req.attempt, ..Default::default() };
     match state.fault() {
         Fault::Draining => {
-            let refusal = wire::Refusal {
-                draining: true,
-                ..refusal
-            };
+            let refusal = wire::Refusal { draining: true, ..refusal };
             return Ok(refuse(StatusCode::SERVICE_UNAVAILABLE, &refusal));
         }
         Fault::Shedding => {
-            let refusal = wire::Refusal {
-                reason: "overloaded".to_owned(),
-                ..refusal
-            };
+            let refusal = wire::Refusal { reason: "overloaded".to_owned(), ..refusal };
             return Ok(refuse(StatusCode::TOO_MANY_REQUESTS, &refusal));
         }
         _ => {}
     }
     let key = (req.collection.clone(), req.snapshot, req.shard);
-    let shard = state
-        .shard(&key)
-        .filter(|_| state.fault() != Fault::NoSnapshots);
+    let shard = state.shard(&key).filter(|_| state.fault() != Fault::NoSnapshots);
     let Some(shard) = shard else {
         let reason = "shard not held".to_owned();
         let held_snapshots = state.snapshots(&req.collection);
-        let refusal = wire::Refusal {
-            reason,
-            held_snapshots,
-            ..refusal
-        };
+        let refusal = wire::Refusal { reason, held_snapshots, ..refusal };
         return Ok(refuse(StatusCode::CONFLICT, &refusal));
     };
     if state.slots.available_permits() == 0 {
@@ -177,9 +162,7 @@
     let mut hits: Vec<&Document> = shard.iter().filter(matches).collect();
     reply.total_hits = hits.len() as u32;
     hits.sort_by_key(|document| std::cmp::Reverse(document.score));
-    reply
-        .entries
-        .extend(hits.into_iter().take(req.limit as usize).map(entry));
+    reply.entries.extend(hits.into_iter().take(req.limit as usize).map(entry));
 }
 
 fn entry(document: &Document) -> wire::Entry {
--- a/bin/galenaloft-standin/src/searcher/process.rs
+++ b/bin/galenaloft-standin/src/searcher/process.rs
@@ -36,11 +36,7 @@
 impl SearcherProcess {
     /// Starts a searcher.
     pub async fn start(state: SearcherState, address: SocketAddr) -> Result<Self, StandinError> {
-        let process = Self {
-            state: Arc::new(state),
-            address,
-            running: Mutex::new(None),
-        };
+        let process = Self { state: Arc::new(state), address, running: Mutex::new(None) };
         process.listen().await?;
         Ok(process)
     }
@@ -58,11 +54,7 @@
     }
 
     fn kill(&self) {
-        let running = self
-            .running
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .take();
+        let running = self.running.lock().unwrap_or_else(PoisonError::into_inner).take();
         if let Some(handle) = running {
             handle.abort();
         }
@@ -107,16 +99,10 @@
         let state = state.clone();
         async move {
             let (head, body) = req.into_parts();
-            let body: Bytes = body
-                .collect()
-                .await
-                .map_err(std::io::Error::other)?
-                .to_bytes();
+            let body: Bytes = body.collect().await.map_err(std::io::Error::other)?.to_bytes();
             handle(state, Request::from_parts(head, body)).await
         }
     });
     // A broken connection concerns its client only.
-    let _ = http1::Builder::new()
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
--- a/bin/galenaloft-standin/src/searcher/state.rs
+++ b/bin/galenaloft-standin/src/searcher/state.rs
@@ -34,10 +34,7 @@
     /// Returns the submissions that ran, and those that ran more than once.
     pub fn summary(&self) -> (usize, Vec<String>) {
         let runs = locked(&self.runs);
-        let twice = runs
-            .iter()
-            .filter(|(_, count)| **count > 1)
-            .map(|(key, _)| key.clone());
+        let twice = runs.iter().filter(|(_, count)| **count > 1).map(|(key, _)| key.clone());
         (runs.len(), twice.collect())
     }
 
@@ -120,10 +117,7 @@
     /// Returns the snapshots of a collection that the searcher holds.
     pub fn snapshots(&self, collection: &str) -> Vec<u32> {
         let held = locked(&self.held);
-        let snapshots = held
-            .keys()
-            .filter(|(name, _, _)| name == collection)
-            .map(|key| key.1);
+        let snapshots = held.keys().filter(|(name, _, _)| name == collection).map(|key| key.1);
         let distinct: BTreeSet<u32> = snapshots.collect();
         distinct.into_iter().collect()
     }
--- a/bin/galenaloft/src/command/ask.rs
+++ b/bin/galenaloft/src/command/ask.rs
@@ -36,14 +36,7 @@
 
 /// Takes a ticket unless one is given, submits and prints the receipt.
 pub async fn submit(args: SubmitArgs) -> Result<(), CommandError> {
-    let SubmitArgs {
-        host,
-        path,
-        kind,
-        key,
-        body,
-        ticket,
-    } = args;
+    let SubmitArgs { host, path, kind, key, body, ticket } = args;
     let mut client = connect(host).await?;
     let ticket = match ticket {
         Some(ticket) => ticket,
@@ -53,12 +46,7 @@
         }
     };
     println!("ticket    {ticket}");
-    let req = SubmitRequest {
-        kind,
-        ticket,
-        key,
-        body,
-    };
+    let req = SubmitRequest { kind, ticket, key, body };
     let receipt = client.submit(path, &req).await.map_err(of(host))?;
     print!("{}", report::receipt(&receipt));
     Ok(())
--- a/bin/galenaloft/src/command/check.rs
+++ b/bin/galenaloft/src/command/check.rs
@@ -33,9 +33,7 @@
 
 fn load(path: &Path) -> Result<Sheet, ConfigError> {
     let file = path.display().to_string();
-    let text = fs::read_to_string(path).map_err(|e| ConfigError::Unreadable {
-        file: file.clone(),
-        why: e.to_string(),
-    })?;
+    let text = fs::read_to_string(path)
+        .map_err(|e| ConfigError::Unreadable { file: file.clone(), why: e.to_string() })?;
     Sheet::parse(&file, &text)
 }
--- a/bin/galenaloft/src/command/completions.rs
+++ b/bin/galenaloft/src/command/completions.rs
@@ -4,11 +4,7 @@
 
 /// Commands and their options.
 const COMMANDS: [(&str, &str, &str); 9] = [
-    (
-        "check",
-        "Checks a sheet before it is published",
-        "--against",
-    ),
+    ("check", "Checks a sheet before it is published", "--against"),
     ("status", "Shows what hosts are doing", "--json --watch"),
     ("explain", "Tells why a request got its answer", ""),
     ("drain", "Starts a planned stop of a host", ""),
--- a/bin/galenaloft/src/command/mod.rs
+++ b/bin/galenaloft/src/command/mod.rs
@@ -18,10 +18,7 @@
             print!("{}", completions::script(shell));
             Ok(())
         }
-        command => Builder::new_current_thread()
-            .enable_all()
-            .build()?
-            .block_on(remote(command)),
+        command => Builder::new_current_thread().enable_all().build()?.block_on(remote(command)),
     }
 }
 
@@ -30,12 +27,7 @@
         Command::Status { hosts, format } => status::status(&hosts, format).await,
         Command::Explain { host, request } => status::explain(host, &request).await,
         Command::Drain { host } => status::drain(host).await,
-        Command::Search {
-            host,
-            kind,
-            query,
-            limit,
-        } => ask::search(host, kind, query, limit).await,
+        Command::Search { host, kind, query, limit } => ask::search(host, kind, query, limit).await,
         Command::Fetch { host, kind, key } => ask::fetch(host, kind, key).await,
         Command::Submit(args) => ask::submit(args).await,
         Command::Check { .. } | Command::Completions(_) => Ok(()),
--- a/bin/galenaloft/src/command/status.rs
+++ b/bin/galenaloft/src/command/status.rs
@@ -29,10 +29,7 @@
             StatusFormat::Json => {
                 let valid: Vec<HostStatus> = states.into_iter().filter_map(|s| s.1.ok()).collect();
                 let text = serde_json::to_string_pretty(&valid);
-                println!(
-                    "{}",
-                    text.expect("generated messages are always valid JSON")
-                );
+                println!("{}", text.expect("generated messages are always valid JSON"));
             }
             StatusFormat::Text => print!("{}", report::hosts(&states)),
             StatusFormat::Watch => print!("{CLEAR}{}", report::hosts(&states)),
--- a/bin/galenaloft/src/options.rs
+++ b/bin/galenaloft/src/options.rs
@@ -53,32 +53,17 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Command {
     /// Check a sheet.
-    Check {
-        sheet: PathBuf,
-        against: Option<PathBuf>,
-    },
+    Check { sheet: PathBuf, against: Option<PathBuf> },
     /// Show the state of hosts.
-    Status {
-        hosts: Vec<SocketAddr>,
-        format: StatusFormat,
-    },
+    Status { hosts: Vec<SocketAddr>, format: StatusFormat },
     /// Tell the decisions of a request.
     Explain { host: SocketAddr, request: String },
     /// Start a planned stop.
     Drain { host: SocketAddr },
     /// Search a collection.
-    Search {
-        host: SocketAddr,
-        kind: String,
-        query: String,
-        limit: u32,
-    },
+    Search { host: SocketAddr, kind: String, query: String, limit: u32 },
     /// Fetch an entry.
-    Fetch {
-        host: SocketAddr,
-        kind: String,
-        key: String,
-    },
+    Fetch { host: SocketAddr, kind: String, key: String },
     /// File or reserve.
     Submit(SubmitArgs),
     /// Print a completion script.
@@ -89,38 +74,20 @@
     /// Checks the command line.
     pub fn from_flags(flags: Galenaloft) -> Result<Self, CommandError> {
         Ok(match flags.subcommand {
-            GalenaloftCmd::Check(c) => Self::Check {
-                sheet: c.sheet,
-                against: c.against,
-            },
+            GalenaloftCmd::Check(c) => Self::Check { sheet: c.sheet, against: c.against },
             GalenaloftCmd::Status(c) => {
                 if c.hosts.is_empty() {
                     return Err(CommandError::NoHosts);
                 }
-                Self::Status {
-                    hosts: c.hosts,
-                    format: status_format(c.json, c.watch)?,
-                }
+                Self::Status { hosts: c.hosts, format: status_format(c.json, c.watch)? }
             }
-            GalenaloftCmd::Explain(c) => Self::Explain {
-                host: c.host,
-                request: c.request,
-            },
+            GalenaloftCmd::Explain(c) => Self::Explain { host: c.host, request: c.request },
             GalenaloftCmd::Drain(c) => Self::Drain { host: c.host },
             GalenaloftCmd::Search(c) => {
                 let limit = c.limit.unwrap_or(0);
-                Self::Search {
-                    host: c.host,
-                    kind: c.kind,
-                    query: c.query,
-                    limit,
-                }
+                Self::Search { host: c.host, kind: c.kind, query: c.query, limit }
             }
-            GalenaloftCmd::Fetch(c) => Self::Fetch {
-                host: c.host,
-                kind: c.kind,
-                key: c.key,
-            },
+            GalenaloftCmd::Fetch(c) => Self::Fetch { host: c.host, kind: c.kind, key: c.key },
             GalenaloftCmd::File(c) => Self::Submit(SubmitArgs {
                 host: c.host,
                 path: FILE_PATH,
--- a/bin/galenaloft/src/report/answer.rs
+++ b/bin/galenaloft/src/report/answer.rs
@@ -18,23 +18,15 @@
         ("verdict", answer.verdict().as_str_name().to_owned()),
         ("snapshot", answer.snapshot.to_string()),
         ("coverage", describe(&coverage)),
-        (
-            "hits",
-            format!("{}, best {} below", answer.total_hits, answer.entries.len()),
-        ),
-        (
-            "answered",
-            format!("by {} in {} ms", answer.host, answer.elapsed_ms),
-        ),
+        ("hits", format!("{}, best {} below", answer.total_hits, answer.entries.len())),
+        ("answered", format!("by {} in {} ms", answer.host, answer.elapsed_ms)),
     ];
     for (name, value) in lines {
         line(&mut text, name, &value);
     }
     for missing in coverage.missing.iter().take(MAX_MISSING) {
-        let value = format!(
-            "shard {}, {} documents: {}",
-            missing.shard, missing.documents, missing.reason
-        );
+        let value =
+            format!("shard {}, {} documents: {}", missing.shard, missing.documents, missing.reason);
         line(&mut text, "missing", &value);
     }
     let more = coverage.missing.len().saturating_sub(MAX_MISSING);
@@ -54,11 +46,7 @@
     let mut text = String::new();
     line(&mut text, "verdict", receipt.verdict().as_str_name());
     line(&mut text, "receipt", &receipt.receipt);
-    let origin = if receipt.replayed {
-        "an earlier run of the ticket"
-    } else {
-        "this run"
-    };
+    let origin = if receipt.replayed { "an earlier run of the ticket" } else { "this run" };
     line(&mut text, "from", origin);
     line(&mut text, "answered", &format!("by {}", receipt.host));
     text
@@ -66,11 +54,7 @@
 
 fn describe(coverage: &Coverage) -> String {
     let (covered, total) = (coverage.covered, coverage.total);
-    let percent = if total == 0 {
-        100.0
-    } else {
-        100.0 * f64::from(covered) / f64::from(total)
-    };
+    let percent = if total == 0 { 100.0 } else { 100.0 * f64::from(covered) / f64::from(total) };
     format!("{covered} of {total} documents ({percent:.1}%)")
 }
 
--- a/bin/galenaloft/src/report/hosts.rs
+++ b/bin/galenaloft/src/report/hosts.rs
@@ -9,12 +9,7 @@
 /// Returns the state of hosts as tables.
 pub fn hosts(states: &[(SocketAddr, Result<HostStatus, OperatorError>)]) -> String {
     let mut text = String::new();
-    row(
-        &mut text,
-        &[
-            "HOST", "ZONE", "STATE", "SHEET", "LAYOUT", "PEERS", "WAITING", "TICKETS",
-        ],
-    );
+    row(&mut text, &["HOST", "ZONE", "STATE", "SHEET", "LAYOUT", "PEERS", "WAITING", "TICKETS"]);
     for (address, state) in states {
         match state {
             Ok(status) => row(&mut text, &host_row(status)),
@@ -37,16 +32,8 @@
         (false, true) => "ready",
         (false, false) => "starting",
     };
-    let alive = status
-        .peers
-        .iter()
-        .filter(|peer| peer.state == "alive")
-        .count();
-    let waiting: u32 = status
-        .searchers
-        .iter()
-        .map(|searcher| searcher.waiting)
-        .sum();
+    let alive = status.peers.iter().filter(|peer| peer.state == "alive").count();
+    let waiting: u32 = status.searchers.iter().map(|searcher| searcher.waiting).sum();
     let hash = status.sheet_hash.get(..6).unwrap_or_default();
     [
         status.host.clone(),
@@ -65,12 +52,7 @@
         return;
     }
     *text += "\n";
-    row(
-        text,
-        &[
-            "HOST", "KIND", "RANK", "ANSWERED", "PARTIAL", "REFUSED", "P50 MS", "P99 MS",
-        ],
-    );
+    row(text, &["HOST", "KIND", "RANK", "ANSWERED", "PARTIAL", "REFUSED", "P50 MS", "P99 MS"]);
     for host in hosts {
         for kind in &host.kinds {
             let cells = [
--- a/bin/galenaloftd/src/options.rs
+++ b/bin/galenaloftd/src/options.rs
@@ -26,14 +26,7 @@
 impl Options {
     /// Checks the command line and the files that it names.
     pub fn from_flags(flags: &Galenaloftd) -> Result<Self, DaemonError> {
-        let mode = if flags.check {
-            Mode::Check
-        } else {
-            Mode::Serve
-        };
-        Ok(Self {
-            mode,
-            settings: Settings::load(&flags.settings)?,
-        })
+        let mode = if flags.check { Mode::Check } else { Mode::Serve };
+        Ok(Self { mode, settings: Settings::load(&flags.settings)? })
     }
 }
--- a/bin/galenaloftd/src/serve.rs
+++ b/bin/galenaloftd/src/serve.rs
@@ -57,16 +57,8 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let limits = caller_limits(&settings);
-    let platform = RealPlatform {
-        address: settings.platform,
-    };
-    let node = Node::new(
-        settings,
-        Identity::random(),
-        TcpConnector,
-        HttpLink,
-        platform,
-    );
+    let platform = RealPlatform { address: settings.platform };
+    let node = Node::new(settings, Identity::random(), TcpConnector, HttpLink, platform);
     let (stop, stop_rx) = watch::channel(false);
     tokio::spawn(serve_peers(peers, node.clone()));
     tokio::spawn(serve_operators(operators, node.clone(), stop_rx));
@@ -86,11 +78,7 @@
     stop.send_replace(true);
     let _ = timeout(LAST_REPLIES, front).await;
     drop(tasks);
-    Ok(if cut == 0 {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::from(2)
-    })
+    Ok(if cut == 0 { ExitCode::SUCCESS } else { ExitCode::from(2) })
 }
 
 /// Waits for a second signal, which cuts what still runs. Returns how much that is.
@@ -114,9 +102,7 @@
         close.send_replace(true);
     });
     let server = Server::new(listener, limits, refuse_body);
-    server
-        .serve(move |req| handle_caller(node.clone(), req), stop)
-        .await;
+    server.serve(move |req| handle_caller(node.clone(), req), stop).await;
 }
 
 async fn serve_operators(listener: TcpListener, node: RealNode, stop: watch::Receiver<bool>) {
@@ -126,15 +112,11 @@
         read_timeout: Duration::from_secs(5),
     };
     let server = Server::plain(listener, limits);
-    server
-        .serve(move |req| handle_operator(node.clone(), req), stop)
-        .await;
+    server.serve(move |req| handle_operator(node.clone(), req), stop).await;
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, DaemonError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|e| DaemonError::Listen(address, e))
+    TcpListener::bind(address).await.map_err(|e| DaemonError::Listen(address, e))
 }
 
 fn caller_limits(settings: &Settings) -> Limits {
--- a/bin/galenaloftd/tests/fleet/mod.rs
+++ b/bin/galenaloftd/tests/fleet/mod.rs
@@ -62,16 +62,8 @@
         tokio::spawn(galenaloft_standin::play(options));
         let dir = std::env::temp_dir().join(format!("galenaloft-{port}-{}", std::process::id()));
         fs::create_dir_all(&dir).unwrap();
-        let mut fleet = Self {
-            port,
-            dir,
-            hosts: (0..count).map(|_| None).collect(),
-        };
-        fleet
-            .until("the stand-in is up", async |fleet| {
-                fleet.stats().await.is_some()
-            })
-            .await;
+        let mut fleet = Self { port, dir, hosts: (0..count).map(|_| None).collect() };
+        fleet.until("the stand-in is up", async |fleet| fleet.stats().await.is_some()).await;
         for host in 0..count {
             fleet.start_host(host);
         }
@@ -113,13 +105,7 @@
     /// Sends a signal by name to one host.
     pub fn signal(&self, host: usize, name: &str) {
         let pid = self.hosts[host].as_ref().unwrap().id().to_string();
-        assert!(
-            Command::new("kill")
-                .args(["-s", name, &pid])
-                .status()
-                .unwrap()
-                .success()
-        );
+        assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
     }
 
     pub async fn exit_of(&mut self, host: usize) -> ExitStatus {
@@ -147,52 +133,32 @@
         let knows = async |fleet: &Self| {
             let status = fleet.status(host).await;
             status.is_some_and(|status| {
-                let alive = status
-                    .peers
-                    .iter()
-                    .filter(|peer| peer.state == "alive")
-                    .count();
+                let alive = status.peers.iter().filter(|peer| peer.state == "alive").count();
                 status.ready && alive == count
             })
         };
-        self.until(&format!("host {host} is ready with {count} peers"), knows)
-            .await;
+        self.until(&format!("host {host} is ready with {count} peers"), knows).await;
     }
 
     pub async fn status(&self, host: usize) -> Option<HostStatus> {
-        let reading = async {
-            OperatorClient::connect(self.operators(host))
-                .await?
-                .status()
-                .await
-        };
-        tokio::time::timeout(Duration::from_secs(1), reading)
-            .await
-            .ok()?
-            .ok()
+        let reading = async { OperatorClient::connect(self.operators(host)).await?.status().await };
+        tokio::time::timeout(Duration::from_secs(1), reading).await.ok()?.ok()
+    }
+
+    pub async fn metrics(&self, host: usize) -> String {
+        let mut connection = Connection::connect(self.operators(host), PATIENCE).await.unwrap();
+        let reply = connection.get("/metrics", "").await.unwrap();
+        String::from_utf8(reply.body().to_vec()).unwrap()
     }
 
     pub async fn search(&self, host: usize) -> Result<Answer, CallerError> {
-        let req = SearchRequest {
-            kind: "look".to_owned(),
-            query: "c".to_owned(),
-            limit: 5,
-        };
-        CallerClient::connect(self.callers(host))
-            .await?
-            .search(&req)
-            .await
+        let req = SearchRequest { kind: "look".to_owned(), query: "c".to_owned(), limit: 5 };
+        CallerClient::connect(self.callers(host)).await?.search(&req).await
     }
 
     pub async fn ticket(&self, host: usize) -> String {
         let mut client = CallerClient::connect(self.callers(host)).await.unwrap();
-        client
-            .ticket(&TicketRequest {
-                kind: "fee".to_owned(),
-            })
-            .await
-            .unwrap()
-            .ticket
+        client.ticket(&TicketRequest { kind: "fee".to_owned() }).await.unwrap().ticket
     }
 
     pub async fn file(&self, host: usize, ticket: &str) -> Result<Receipt, CallerError> {
@@ -202,23 +168,15 @@
             key: "fees-000001".to_owned(),
             body: body_of(ticket),
         };
-        CallerClient::connect(self.callers(host))
-            .await?
-            .submit(FILE_PATH, &req)
-            .await
+        CallerClient::connect(self.callers(host)).await?.submit(FILE_PATH, &req).await
     }
 
     /// Returns how often the submission of a ticket ran.
     pub async fn runs(&self, ticket: &str) -> u64 {
         let submission = format!("fees|fees-000001|{}", body_of(ticket));
         let path = format!("/standin/runs?submission={submission}");
-        let runs = self
-            .standin(Method::GET, &path, &Value::Null)
-            .await
-            .unwrap();
-        serde_json::from_str::<Value>(&runs).unwrap()["count"]
-            .as_u64()
-            .unwrap()
+        let runs = self.standin(Method::GET, &path, &Value::Null).await.unwrap();
+        serde_json::from_str::<Value>(&runs).unwrap()["count"].as_u64().unwrap()
     }
 
     /// Returns how many attempts a searcher received.
@@ -233,23 +191,17 @@
     }
 
     pub async fn publish(&self, value: &str) {
-        self.switch("publish", &json!({"key": "sheet", "value": value}))
-            .await;
+        self.switch("publish", &json!({"key": "sheet", "value": value})).await;
     }
 
     pub async fn switch(&self, what: &str, body: &Value) {
-        let done = self
-            .standin(Method::POST, &format!("/standin/{what}"), body)
-            .await;
+        let done = self.standin(Method::POST, &format!("/standin/{what}"), body).await;
         assert!(done.is_some(), "cannot switch {what}: {body}");
     }
 
     pub fn logged(&self, host: usize, event: &str) -> bool {
         let mut text = String::new();
-        fs::File::open(self.log(host))
-            .unwrap()
-            .read_to_string(&mut text)
-            .unwrap();
+        fs::File::open(self.log(host)).unwrap().read_to_string(&mut text).unwrap();
         text.contains(&format!("event={event}"))
     }
 
@@ -258,18 +210,14 @@
     }
 
     async fn stats(&self) -> Option<String> {
-        self.standin(Method::GET, "/standin/stats", &Value::Null)
-            .await
+        self.standin(Method::GET, "/standin/stats", &Value::Null).await
     }
 
     async fn standin(&self, method: Method, path: &str, body: &Value) -> Option<String> {
         let address = SocketAddr::from(([127, 0, 0, 1], self.port));
         let mut connection = Connection::connect(address, PATIENCE).await.ok()?;
         let body = Bytes::from(body.to_string());
-        let reply = connection
-            .send(method, path, "application/json", body)
-            .await
-            .ok()?;
+        let reply = connection.send(method, path, "application/json", body).await.ok()?;
         let text = String::from_utf8(reply.body().to_vec()).ok()?;
         reply.status().is_success().then_some(text)
     }
@@ -311,10 +259,8 @@
     );
     for host in 0..hosts as u16 {
         let peers = port + 20 + host;
-        text += &format!(
-            "  - {{ id: h{host}, zone: z{}, peers: \"127.0.0.1:{peers}\" }}\n",
-            host % 3
-        );
+        text +=
+            &format!("  - {{ id: h{host}, zone: z{}, peers: \"127.0.0.1:{peers}\" }}\n", host % 3);
     }
     text
 }
--- a/bin/galenaloftd/tests/processes.rs
+++ b/bin/galenaloftd/tests/processes.rs
@@ -24,10 +24,7 @@
     let part = fleet.search(1).await.unwrap();
     let coverage = part.coverage.clone().unwrap();
     let missing: Vec<u32> = coverage.missing.iter().map(|m| m.shard).collect();
-    assert_eq!(
-        (part.verdict(), part.complete, missing),
-        (Verdict::Ran, false, vec![3])
-    );
+    assert_eq!((part.verdict(), part.complete, missing), (Verdict::Ran, false, vec![3]));
     assert_eq!(coverage.total, 60);
     assert_eq!(coverage.covered + coverage.missing[0].documents, 60);
     fleet.fault("entries-3", "none").await;
@@ -41,10 +38,7 @@
     let (done, unused) = (fleet.ticket(0).await, fleet.ticket(0).await);
     let receipt = fleet.file(1, &done).await.unwrap();
     let copied = async |fleet: &Fleet| {
-        fleet
-            .file(2, &done)
-            .await
-            .is_ok_and(|again| again.receipt == receipt.receipt)
+        fleet.file(2, &done).await.is_ok_and(|again| again.receipt == receipt.receipt)
     };
     fleet.until("a repeat gets the receipt", copied).await;
     sleep(Duration::from_millis(200)).await;
@@ -68,20 +62,11 @@
     fleet.until("the others have the new sheet", others).await;
     sleep(Duration::from_millis(1_200)).await;
     fleet.signal(0, "CONT");
-    fleet
-        .until("the pause is noticed", async |fleet| {
-            fleet.logged(0, "process_paused")
-        })
-        .await;
-    fleet
-        .until("it resumes", async |fleet| fleet.logged(0, "host_resumed"))
-        .await;
+    fleet.until("the pause is noticed", async |fleet| fleet.logged(0, "process_paused")).await;
+    fleet.until("it resumes", async |fleet| fleet.logged(0, "host_resumed")).await;
     assert_eq!(fleet.status(0).await.unwrap().revision, 2);
     let settled = async |fleet: &Fleet| fleet.file(2, &ticket).await.is_ok();
-    let verdict = fleet
-        .file(2, &ticket)
-        .await
-        .map_or_else(|e| e.verdict(), |r| r.verdict());
+    let verdict = fleet.file(2, &ticket).await.map_or_else(|e| e.verdict(), |r| r.verdict());
     if verdict == Verdict::NotRun {
         assert_eq!(fleet.runs(&ticket).await, 0);
     } else {
@@ -99,37 +84,22 @@
     let in_force = async |fleet: &Fleet| {
         let mut all = true;
         for host in 0..3 {
-            all &= fleet
-                .status(host)
-                .await
-                .is_some_and(|status| status.revision == 2);
+            all &= fleet.status(host).await.is_some_and(|status| status.revision == 2);
         }
         all
     };
-    fleet
-        .until("revision 2 is in force everywhere", in_force)
-        .await;
+    fleet.until("revision 2 is in force everywhere", in_force).await;
     let restored = json!({"key": "sheet", "value": sheet(1), "version": 1});
     fleet.switch("publish", &restored).await;
     fleet.kill(2);
     fleet.start_host(2);
-    fleet
-        .until("the host is ready again", async |f| {
-            f.logged(2, "host_ready")
-        })
-        .await;
+    fleet.until("the host is ready again", async |f| f.logged(2, "host_ready")).await;
     assert_eq!(fleet.status(2).await.unwrap().revision, 2);
     let behind = async |fleet: &Fleet| {
         let status = fleet.status(0).await;
-        status.is_some_and(|s| {
-            s.alarms
-                .iter()
-                .any(|alarm| alarm.starts_with("sheet_behind"))
-        })
+        status.is_some_and(|s| s.alarms.iter().any(|alarm| alarm.starts_with("sheet_behind")))
     };
-    fleet
-        .until("the restored platform raises an alarm", behind)
-        .await;
+    fleet.until("the restored platform raises an alarm", behind).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -151,11 +121,7 @@
     fleet.switch("publish", &race_back).await;
     let alarmed = async |fleet: &Fleet| {
         let status = fleet.status(0).await;
-        status.is_some_and(|s| {
-            s.alarms
-                .iter()
-                .any(|alarm| alarm.starts_with("revision_conflict"))
-        })
+        status.is_some_and(|s| s.alarms.iter().any(|alarm| alarm.starts_with("revision_conflict")))
     };
     fleet.until("the race raises an alarm", alarmed).await;
     fleet.until("all hosts agree again", agree).await;
@@ -195,86 +161,53 @@
     let none = r#"{"kind":"fee","key":"k"}"#;
     let cases = [
         (head("/v1/search", "", 70_000), "413", "exceeds 65536 bytes"),
-        (
-            head("/v1/search", "", 10) + "short",
-            "408",
-            "did not arrive",
-        ),
+        (head("/v1/search", "", 10) + "short", "408", "did not arrive"),
         (head("/v1/search", &headers, 0), "431", ""),
-        (
-            head("/v1/search", "", 3) + "{]}",
-            "400",
-            "not the JSON expected",
-        ),
-        (
-            head("/v1/search", "", unknown.len()) + unknown,
-            "400",
-            "no kind `nope`",
-        ),
-        (
-            head("/v1/search", "", extra.len()) + extra,
-            "400",
-            "unknown field `colour`",
-        ),
-        (
-            head("/v1/search", "galenaloft-deadline-ms: soon\r\n", 2) + "{}",
-            "400",
-            "milliseconds",
-        ),
-        (
-            head("/v1/file", "", ticket.len()) + ticket,
-            "400",
-            "is no ticket",
-        ),
-        (
-            head("/v1/file", "", none.len()) + none,
-            "428",
-            "needs a ticket",
-        ),
-        (
-            head("/v2/search", "", 2) + "{}",
-            "404",
-            "no path `/v2/search`",
-        ),
-        (
-            "GET /v1/search HTTP/1.1\r\nhost: x\r\n\r\n".to_owned(),
-            "405",
-            "not POST",
-        ),
+        (head("/v1/search", "", 3) + "{]}", "400", "not the JSON expected"),
+        (head("/v1/search", "", unknown.len()) + unknown, "400", "no kind `nope`"),
+        (head("/v1/search", "", extra.len()) + extra, "400", "unknown field `colour`"),
+        (head("/v1/search", "galenaloft-deadline-ms: soon\r\n", 2) + "{}", "400", "milliseconds"),
+        (head("/v1/file", "", ticket.len()) + ticket, "400", "is no ticket"),
+        (head("/v1/file", "", none.len()) + none, "428", "needs a ticket"),
+        (head("/v2/search", "", 2) + "{}", "404", "no path `/v2/search`"),
+        ("GET /v1/search HTTP/1.1\r\nhost: x\r\n\r\n".to_owned(), "405", "not POST"),
         ("\u{0}\u{1}\u{2}\r\n\r\n".to_owned(), "400", ""),
     ];
     for (request, status, error) in cases {
         let reply = raw(&fleet, &request).await;
         let start = request.get(..30).unwrap_or(&request);
-        assert!(
-            reply.starts_with(&format!("HTTP/1.1 {status}")),
-            "{start}: {reply}"
-        );
+        assert!(reply.starts_with(&format!("HTTP/1.1 {status}")), "{start}: {reply}");
         assert!(reply.contains(error), "{start}: {reply}");
-        assert!(
-            error.is_empty() || reply.contains("NOT_RUN"),
-            "{start}: {reply}"
-        );
+        assert!(error.is_empty() || reply.contains("NOT_RUN"), "{start}: {reply}");
     }
     assert!(fleet.search(0).await.unwrap().complete);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn made_up_kinds_do_not_fill_the_metrics() {
+    let fleet = Fleet::start(30_800, 1).await;
+    for path in ["/v1/search", "/v1/file"] {
+        let body = r#"{"kind":"made-up","ticket":"h9.1.1.1.1"}"#;
+        let body = if path == "/v1/search" { r#"{"kind":"made-up"}"# } else { body };
+        let head = format!("POST {path} HTTP/1.1\r\nhost: x\r\ncontent-length: {}", body.len());
+        raw(&fleet, &format!("{head}\r\n\r\n{body}")).await;
+    }
+    let metrics = fleet.metrics(0).await;
+    assert!(metrics.contains("kind=\"unknown\"") && !metrics.contains("made-up"), "{metrics}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_searcher_that_is_listed_as_leaving_gets_no_work_though_it_says_that_it_stays() {
     let fleet = Fleet::start(32_600, 2).await;
     assert!(fleet.search(0).await.unwrap().complete);
-    fleet
-        .switch("leaving", &json!({"host": "entries-2", "leaving": true}))
-        .await;
+    fleet.switch("leaving", &json!({"host": "entries-2", "leaving": true})).await;
     sleep(Duration::from_secs(3)).await;
     let before = fleet.received("entries-2").await;
     for host in [0, 1, 0, 1] {
         assert!(!fleet.search(host).await.unwrap().complete);
     }
     assert_eq!(fleet.received("entries-2").await, before);
-    fleet
-        .switch("leaving", &json!({"host": "entries-2", "leaving": false}))
-        .await;
+    fleet.switch("leaving", &json!({"host": "entries-2", "leaving": false})).await;
     let back = async |fleet: &Fleet| fleet.search(1).await.is_ok_and(|answer| answer.complete);
     fleet.until("it gets work again", back).await;
 }
--- a/crates/caller/src/client.rs
+++ b/crates/caller/src/client.rs
@@ -67,9 +67,7 @@
 impl CallerClient {
     /// Connects to an entry host.
     pub async fn connect(host: SocketAddr) -> Result<Self, CallerError> {
-        Ok(Self {
-            connection: Connection::connect(host, CONNECT_TIMEOUT).await?,
-        })
+        Ok(Self { connection: Connection::connect(host, CONNECT_TIMEOUT).await? })
     }
 
     /// Returns whether the connection can carry a further request.
@@ -107,10 +105,8 @@
         req: &Q,
     ) -> Result<R, CallerError> {
         let body = serde_json::to_vec(req).expect("generated messages are always valid JSON");
-        let reply = self
-            .connection
-            .send(Method::POST, path, "application/json", Bytes::from(body))
-            .await?;
+        let reply =
+            self.connection.send(Method::POST, path, "application/json", Bytes::from(body)).await?;
         let status = reply.status().as_u16();
         let unreadable = |e: serde_json::Error| CallerError::Unreadable(status, e.to_string());
         if reply.status().is_success() {
--- a/crates/config/src/reader/field.rs
+++ b/crates/config/src/reader/field.rs
@@ -47,20 +47,14 @@
 
     /// Reads a list.
     pub fn list(&self) -> Result<Vec<Field<'a>>, ConfigError> {
-        let nodes = self
-            .node
-            .as_sequence()
-            .ok_or_else(|| self.invalid("a list"))?;
+        let nodes = self.node.as_sequence().ok_or_else(|| self.invalid("a list"))?;
         let item = |(i, node)| Field::new(self.file, format!("{}[{i}]", self.path), node);
         Ok(nodes.iter().enumerate().map(item).collect())
     }
 
     /// Reads a scalar as it is written.
     pub fn text(&self) -> Result<&'a str, ConfigError> {
-        let scalar = self
-            .node
-            .as_scalar()
-            .ok_or_else(|| self.invalid("a single value"))?;
+        let scalar = self.node.as_scalar().ok_or_else(|| self.invalid("a single value"))?;
         Ok(scalar.as_str())
     }
 
@@ -78,11 +72,7 @@
         let (low, high) = (range.start(), range.end());
         let expected = || self.invalid(format!("a whole number from {low} to {high}"));
         let number = self.text()?.parse().map_err(|_| expected())?;
-        if range.contains(&number) {
-            Ok(number)
-        } else {
-            Err(expected())
-        }
+        if range.contains(&number) { Ok(number) } else { Err(expected()) }
     }
 
     /// Reads a percentage such as `5%` within a range, as a share from 0.0 to 1.0.
@@ -103,11 +93,7 @@
         let high = humantime::format_duration(*range.end());
         let expected = || self.invalid(format!("a duration with its unit from {low} to {high}"));
         let duration = humantime::parse_duration(self.text()?).map_err(|_| expected())?;
-        if range.contains(&duration) {
-            Ok(duration)
-        } else {
-            Err(expected())
-        }
+        if range.contains(&duration) { Ok(duration) } else { Err(expected()) }
     }
 
     /// Reads an IP address with its port.
@@ -120,16 +106,8 @@
     pub fn choice<T: Copy>(&self, choices: &[(&str, T)]) -> Result<T, ConfigError> {
         let text = self.text()?;
         let found = choices.iter().find(|(word, _)| *word == text);
-        let words = || {
-            choices
-                .iter()
-                .map(|(word, _)| *word)
-                .collect::<Vec<_>>()
-                .join(", ")
-        };
-        found
-            .map(|(_, choice)| *choice)
-            .ok_or_else(|| self.invalid(format!("one of {}", words())))
+        let words = || choices.iter().map(|(word, _)| *word).collect::<Vec<_>>().join(", ");
+        found.map(|(_, choice)| *choice).ok_or_else(|| self.invalid(format!("one of {}", words())))
     }
 }
 
--- a/crates/config/src/reader/map.rs
+++ b/crates/config/src/reader/map.rs
@@ -20,10 +20,8 @@
 /// Parses a document whose top is a mapping. `file` is used in errors only.
 pub fn parse(file: &str, text: &str) -> Result<Node, ConfigError> {
     let options = LoaderOptions::default().error_on_duplicate_keys(true);
-    marked_yaml::parse_yaml_with_options(0, text, options).map_err(|e| ConfigError::Malformed {
-        file: file.to_owned(),
-        why: e.to_string(),
-    })
+    marked_yaml::parse_yaml_with_options(0, text, options)
+        .map_err(|e| ConfigError::Malformed { file: file.to_owned(), why: e.to_string() })
 }
 
 impl<'a> MapReader<'a> {
@@ -38,25 +36,10 @@
         let Some(map) = node.as_mapping() else {
             let (file, value) = (file.to_owned(), describe(node));
             let expected = "a mapping of fields".to_owned();
-            return Err(ConfigError::Invalid {
-                file,
-                line,
-                field: path,
-                value,
-                expected,
-            });
+            return Err(ConfigError::Invalid { file, line, field: path, value, expected });
         };
-        let fields = map
-            .iter()
-            .map(|(key, value)| (key.as_str(), value))
-            .collect();
-        Ok(Self {
-            file,
-            path,
-            line,
-            fields,
-            known: Vec::new(),
-        })
+        let fields = map.iter().map(|(key, value)| (key.as_str(), value)).collect();
+        Ok(Self { file, path, line, fields, known: Vec::new() })
     }
 
     /// Takes a field that must be there; `expected` says what it holds.
--- a/crates/config/src/settings/model.rs
+++ b/crates/config/src/settings/model.rs
@@ -89,10 +89,8 @@
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
         let file = path.display().to_string();
-        let text = fs::read_to_string(path).map_err(|e| ConfigError::Unreadable {
-            file: file.clone(),
-            why: e.to_string(),
-        })?;
+        let text = fs::read_to_string(path)
+            .map_err(|e| ConfigError::Unreadable { file: file.clone(), why: e.to_string() })?;
         Self::parse(&file, &text)
     }
 
@@ -102,14 +100,9 @@
         let mut top = MapReader::top(file, &document)?;
         let settings = Self {
             host: top.required("host", "the host's name")?.name()?.into(),
-            zone: top
-                .required("zone", "the availability zone's name")?
-                .name()?
-                .into(),
+            zone: top.required("zone", "the availability zone's name")?.name()?.into(),
             listen: read_listen(&top.required("listen", "the addresses to listen on")?)?,
-            platform: top
-                .required("platform", "the platform's IP address and port")?
-                .address()?,
+            platform: top.required("platform", "the platform's IP address and port")?.address()?,
             peers: read_peers(top.optional("peers"))?,
             limits: read_limits(top.optional("limits"))?,
             drain: read_drain(top.optional("drain"))?,
@@ -123,15 +116,9 @@
 fn read_listen(field: &Field<'_>) -> Result<Listen, ConfigError> {
     let mut map = field.map()?;
     let listen = Listen {
-        callers: map
-            .required("callers", "an IP address with its port")?
-            .address()?,
-        peers: map
-            .required("peers", "an IP address with its port")?
-            .address()?,
-        operators: map
-            .required("operators", "an IP address with its port")?
-            .address()?,
+        callers: map.required("callers", "an IP address with its port")?.address()?,
+        peers: map.required("peers", "an IP address with its port")?.address()?,
+        operators: map.required("operators", "an IP address with its port")?.address()?,
     };
     map.finish()?;
     Ok(listen)
@@ -156,41 +143,22 @@
         return Ok(limits);
     };
     let mut map = field.map()?;
-    set(&mut limits.connections, map.optional("connections"), |f| {
-        f.number(1..=1_000_000)
-    })?;
-    set(&mut limits.requests, map.optional("requests"), |f| {
-        f.number(1..=1_000_000)
-    })?;
-    set(&mut limits.body, map.optional("body-bytes"), |f| {
-        f.number(256..=16_777_216)
-    })?;
-    set(
-        &mut limits.read_timeout,
-        map.optional("read-timeout"),
-        timeout,
-    )?;
-    set(&mut limits.tickets, map.optional("tickets"), |f| {
-        f.number(1..=10_000_000)
-    })?;
+    set(&mut limits.connections, map.optional("connections"), |f| f.number(1..=1_000_000))?;
+    set(&mut limits.requests, map.optional("requests"), |f| f.number(1..=1_000_000))?;
+    set(&mut limits.body, map.optional("body-bytes"), |f| f.number(256..=16_777_216))?;
+    set(&mut limits.read_timeout, map.optional("read-timeout"), timeout)?;
+    set(&mut limits.tickets, map.optional("tickets"), |f| f.number(1..=10_000_000))?;
     map.finish()?;
     Ok(limits)
 }
 
 fn read_drain(field: Option<Field<'_>>) -> Result<Drain, ConfigError> {
-    let mut drain = Drain {
-        balancer_lag: Duration::from_secs(2),
-        grace: Duration::from_secs(20),
-    };
+    let mut drain = Drain { balancer_lag: Duration::from_secs(2), grace: Duration::from_secs(20) };
     let Some(field) = field else {
         return Ok(drain);
     };
     let mut map = field.map()?;
-    set(
-        &mut drain.balancer_lag,
-        map.optional("balancer-lag"),
-        timeout,
-    )?;
+    set(&mut drain.balancer_lag, map.optional("balancer-lag"), timeout)?;
     set(&mut drain.grace, map.optional("grace"), timeout)?;
     map.finish()?;
     Ok(drain)
--- a/crates/config/src/settings/tests.rs
+++ b/crates/config/src/settings/tests.rs
@@ -32,10 +32,7 @@
 
 #[test]
 fn good_settings_are_accepted() {
-    assert_snapshot!(format!(
-        "{:#?}",
-        Settings::parse("host.yaml", GOOD).unwrap()
-    ));
+    assert_snapshot!(format!("{:#?}", Settings::parse("host.yaml", GOOD).unwrap()));
 }
 
 #[test]
--- a/crates/config/src/sheet/diff.rs
+++ b/crates/config/src/sheet/diff.rs
@@ -10,28 +10,13 @@
 pub fn diff(old: &Sheet, new: &Sheet) -> Vec<String> {
     let mut lines = Vec::new();
     compare(&mut lines, "customer", &old.customer, &new.customer);
-    compare(
-        &mut lines,
-        "ticket-life",
-        &old.ticket_life,
-        &new.ticket_life,
-    );
+    compare(&mut lines, "ticket-life", &old.ticket_life, &new.ticket_life);
     for (name, before, after) in pairs(&old.ranks, &new.ranks) {
         let path = format!("rank {name}");
         match (before, after) {
             (Some(before), Some(after)) => {
-                compare(
-                    &mut lines,
-                    &format!("{path}: name"),
-                    &before.name,
-                    &after.name,
-                );
-                compare(
-                    &mut lines,
-                    &format!("{path}: floor"),
-                    &before.floor,
-                    &after.floor,
-                );
+                compare(&mut lines, &format!("{path}: name"), &before.name, &after.name);
+                compare(&mut lines, &format!("{path}: floor"), &before.floor, &after.floor);
             }
             (None, _) => lines.push(format!("{path}: added")),
             (_, None) => lines.push(format!("{path}: removed")),
@@ -76,8 +61,5 @@
 
 fn pairs<'a, K: Ord, V>(old: &'a BTreeMap<K, V>, new: &'a BTreeMap<K, V>) -> Vec<Pair<'a, K, V>> {
     let added = new.keys().filter(|key| !old.contains_key(key));
-    old.keys()
-        .chain(added)
-        .map(|key| (key, old.get(key), new.get(key)))
-        .collect()
+    old.keys().chain(added).map(|key| (key, old.get(key), new.get(key))).collect()
 }
--- a/crates/config/src/sheet/kind.rs
+++ b/crates/config/src/sheet/kind.rs
@@ -86,25 +86,16 @@
         ranks: &BTreeMap<Rank, RankPolicy>,
     ) -> Result<Self, ConfigError> {
         let mut map = field.map()?;
-        let operation = map
-            .required("operation", "one of search, fetch, file, reserve")?
-            .choice(&[
+        let operation =
+            map.required("operation", "one of search, fetch, file, reserve")?.choice(&[
                 ("search", Operation::Search),
                 ("fetch", Operation::Fetch),
                 ("file", Operation::Submit),
                 ("reserve", Operation::Submit),
             ])?;
-        let collection = map
-            .required("collection", "the collection's name")?
-            .name()?
-            .into();
-        let rank = read_rank(
-            &map.required("rank", "the name of one of the ranks")?,
-            ranks,
-        )?;
-        let worth = map
-            .required("worth", "the worth of one request")?
-            .number(1..=MAX_WORTH)?;
+        let collection = map.required("collection", "the collection's name")?.name()?.into();
+        let rank = read_rank(&map.required("rank", "the name of one of the ranks")?, ranks)?;
+        let worth = map.required("worth", "the worth of one request")?.number(1..=MAX_WORTH)?;
         let deadline = map
             .required("deadline", "the time to an answer, such as 280ms")?
             .duration(MIN_DEADLINE..=MAX_DEADLINE)?;
@@ -138,10 +129,7 @@
 fn read_coverage_floor(map: &mut MapReader<'_>, operation: Operation) -> Result<f64, ConfigError> {
     match operation {
         Operation::Search => map
-            .required(
-                "coverage-floor",
-                "the least useful share of the catalogue, such as 98%",
-            )?
+            .required("coverage-floor", "the least useful share of the catalogue, such as 98%")?
             .percent(0..=100),
         Operation::Fetch | Operation::Submit => Ok(1.0),
     }
@@ -151,10 +139,7 @@
     map: &mut MapReader<'_>,
     operation: Operation,
 ) -> Result<Stragglers, ConfigError> {
-    let choices = [
-        ("wait", Stragglers::Wait),
-        ("answer-early", Stragglers::AnswerEarly),
-    ];
+    let choices = [("wait", Stragglers::Wait), ("answer-early", Stragglers::AnswerEarly)];
     match search_only(map, "stragglers", operation) {
         Some(field) => field.choice(&choices),
         None => Ok(Stragglers::Wait),
@@ -199,8 +184,7 @@
         return Ok(None);
     };
     let time = parse_time(field.text()?);
-    time.map(Some)
-        .ok_or_else(|| field.invalid("a time of day from 00:00 to 23:59"))
+    time.map(Some).ok_or_else(|| field.invalid("a time of day from 00:00 to 23:59"))
 }
 
 fn parse_time(text: &str) -> Option<TimeOfDay> {
@@ -214,7 +198,5 @@
 }
 
 fn read_requests(map: &mut MapReader<'_>) -> Result<Option<u32>, ConfigError> {
-    map.optional("requests")
-        .map(|field| field.number(1..=MAX_REQUESTS))
-        .transpose()
+    map.optional("requests").map(|field| field.number(1..=MAX_REQUESTS)).transpose()
 }
--- a/crates/config/src/sheet/model.rs
+++ b/crates/config/src/sheet/model.rs
@@ -55,26 +55,15 @@
     pub fn parse(file: &str, text: &str) -> Result<Self, ConfigError> {
         let document = parse(file, text)?;
         let mut top = MapReader::top(file, &document)?;
-        let customer = top
-            .required("customer", "the customer's name")?
-            .name()?
-            .to_owned();
+        let customer = top.required("customer", "the customer's name")?.name()?.to_owned();
         let ticket_life = match top.optional("ticket-life") {
             Some(field) => field.duration(MIN_TICKET_LIFE..=MAX_TICKET_LIFE)?,
             None => DEFAULT_TICKET_LIFE,
         };
         let ranks = read_ranks(&top.required("ranks", "a mapping of at least one rank")?)?;
-        let kinds = read_kinds(
-            &top.required("kinds", "a mapping of at least one kind")?,
-            &ranks,
-        )?;
+        let kinds = read_kinds(&top.required("kinds", "a mapping of at least one kind")?, &ranks)?;
         top.finish()?;
-        Ok(Self {
-            customer,
-            ticket_life,
-            ranks,
-            kinds,
-        })
+        Ok(Self { customer, ticket_life, ranks, kinds })
     }
 
     /// Returns the kind with this name.
@@ -97,10 +86,7 @@
         if whole > 1.0 + ROUNDING {
             return Err(floor.invalid("floors that add up to at most 100%"));
         }
-        let policy = RankPolicy {
-            name: name.into(),
-            floor: share,
-        };
+        let policy = RankPolicy { name: name.into(), floor: share };
         if ranks.insert(rank, policy).is_some() {
             return Err(order.invalid("an order that no other rank has"));
         }
--- a/crates/config/src/sheet/tests.rs
+++ b/crates/config/src/sheet/tests.rs
@@ -44,10 +44,7 @@
     ("customer: kartenhaus", "customer: kartenhaus\ncolour: red"),
     ("customer: kartenhaus", "customer: Karten haus"),
     ("customer: kartenhaus", "customer: [kartenhaus]"),
-    (
-        "customer: kartenhaus",
-        "customer: kartenhaus\ncustomer: globos",
-    ),
+    ("customer: kartenhaus", "customer: kartenhaus\ncustomer: globos"),
     ("customer: kartenhaus", "customer: \"kartenhaus"),
     ("ticket-life: 10m", "ticket-life: 10"),
     ("ticket-life: 10m", "ticket-life: 2days"),
@@ -58,10 +55,7 @@
     ("floor: 40%", "floor: -1%"),
     ("floor: 10%", "floor: 61%"),
     ("{ order: 2, floor: 10% }", "{ order: 2 }"),
-    (
-        "{ order: 2, floor: 10% }",
-        "{ order: 2, floor: 10%, cap: 20% }",
-    ),
+    ("{ order: 2, floor: 10% }", "{ order: 2, floor: 10%, cap: 20% }"),
     ("{ order: 2, floor: 10% }", "second"),
     ("    operation: file\n", ""),
     ("operation: file", "operation: files"),
@@ -106,9 +100,7 @@
 #[test]
 fn a_diff_tells_each_change() {
     let old = Sheet::parse("old.yaml", GOOD).unwrap();
-    let changed = GOOD
-        .replace("280ms", "250ms")
-        .replace("floor: 10%", "floor: 20%");
+    let changed = GOOD.replace("280ms", "250ms").replace("floor: 10%", "floor: 20%");
     let changed = changed.replace("  sweep:\n", "  night-sweep:\n");
     let new = Sheet::parse("new.yaml", &changed).unwrap();
     assert_snapshot!(diff(&old, &new).join("\n"));
--- a/crates/host/src/edges/real.rs
+++ b/crates/host/src/edges/real.rs
@@ -72,16 +72,10 @@
         after: Revision,
         wait: Duration,
     ) -> Result<Watched, PlatformError> {
-        PlatformClient::connect(self.address)
-            .await?
-            .watch(key, after, wait)
-            .await
+        PlatformClient::connect(self.address).await?.watch(key, after, wait).await
     }
 
     async fn hosts(&self, tag: &str) -> Result<ListRead, PlatformError> {
-        PlatformClient::connect(self.address)
-            .await?
-            .hosts(tag)
-            .await
+        PlatformClient::connect(self.address).await?.hosts(tag).await
     }
 }
--- a/crates/host/src/front/callers.rs
+++ b/crates/host/src/front/callers.rs
@@ -1,12 +1,10 @@
 //! Requests of callers.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
-use galenaloft_caller::DEADLINE_HEADER;
 use galenaloft_caller::FETCH_PATH;
 use galenaloft_caller::FILE_PATH;
 use galenaloft_caller::RESERVE_PATH;
@@ -23,25 +21,24 @@
 use hyper::Request;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
-use serde::de::DeserializeOwned;
 
 use crate::clock::now;
 use crate::edges::Edges;
+use crate::front::answer::answer;
+use crate::front::decode::BadRequest;
+use crate::front::decode::check_lengths;
+use crate::front::decode::decode;
+use crate::front::decode::read_deadline;
+use crate::front::in_progress::InProgress;
 use crate::front::reply::failure;
 use crate::front::reply::failure_with_ticket;
 use crate::front::reply::reply;
+use crate::front::reply::verdict_name;
 use crate::front::reply::wire_verdict;
-use crate::gather::Gathered;
 use crate::gather::Query;
 use crate::gather::RequestError;
 use crate::node::Node;
 
-/// Longest query, key, kind or ticket, in bytes.
-const MAX_FIELD: usize = 4_096;
-
-/// Longest wait that a caller may ask for.
-const MAX_WAIT: Duration = Duration::from_secs(600);
-
 /// Earliest useful retry after the right to run tickets was given up.
 const STOPPING_RETRY: Duration = Duration::from_millis(200);
 
@@ -54,9 +51,7 @@
 pub async fn handle_caller<E: Edges>(node: Arc<Node<E>>, req: Request<Bytes>) -> Reply {
     let mut reply = route(&node, req).await;
     if node.is_stopping() {
-        reply
-            .headers_mut()
-            .insert(CONNECTION, HeaderValue::from_static("close"));
+        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     reply
 }
@@ -100,10 +95,6 @@
     }
 }
 
-/// Why a request cannot be read.
-#[derive(Debug, PartialEq, Eq)]
-struct BadRequest(String);
-
 async fn search<E: Edges>(
     node: &Arc<Node<E>>,
     body: &[u8],
@@ -111,19 +102,9 @@
     present: Instant,
 ) -> Result<Reply, BadRequest> {
     let req: wire::SearchRequest = decode(body)?;
-    let wire::SearchRequest {
-        kind,
-        query: text,
-        limit,
-    } = req;
+    let wire::SearchRequest { kind, query: text, limit } = req;
     check_lengths(&[("kind", &kind), ("query", &text)])?;
-    let query = Query {
-        kind,
-        operation: Operation::Search,
-        text,
-        limit,
-        caller_deadline,
-    };
+    let query = Query { kind, operation: Operation::Search, text, limit, caller_deadline };
     let kind = query.kind.clone();
     Ok(match node.query(query).await {
         Ok(gathered) => answer(node, &kind, 200, gathered, present),
@@ -140,21 +121,11 @@
     let req: wire::FetchRequest = decode(body)?;
     let wire::FetchRequest { kind, key: text } = req;
     check_lengths(&[("kind", &kind), ("key", &text)])?;
-    let query = Query {
-        kind,
-        operation: Operation::Fetch,
-        text,
-        limit: 1,
-        caller_deadline,
-    };
+    let query = Query { kind, operation: Operation::Fetch, text, limit: 1, caller_deadline };
     let kind = query.kind.clone();
     Ok(match node.query(query).await {
         Ok(gathered) => {
-            let status = if gathered.entries.is_empty() {
-                404
-            } else {
-                200
-            };
+            let status = if gathered.entries.is_empty() { 404 } else { 200 };
             answer(node, &kind, status, gathered, present)
         }
         Err(e) => refuse_kind(node, &kind, &e),
@@ -171,10 +142,7 @@
         return Ok(failure(503, Verdict::NotRun, error, STOPPING_RETRY));
     };
     let expires_in_ms = u32::try_from(node.ticket_life().as_millis()).unwrap_or(u32::MAX);
-    let body = wire::TicketReply {
-        ticket: ticket.to_string(),
-        expires_in_ms,
-    };
+    let body = wire::TicketReply { ticket: ticket.to_string(), expires_in_ms };
     Ok(reply(200, Verdict::Ran, &body))
 }
 
@@ -185,11 +153,7 @@
     present: Instant,
 ) -> Result<Reply, BadRequest> {
     let req: wire::SubmitRequest = decode(body)?;
-    let fields = [
-        ("kind", &req.kind),
-        ("key", &req.key),
-        ("ticket", &req.ticket),
-    ];
+    let fields = [("kind", &req.kind), ("key", &req.key), ("ticket", &req.ticket)];
     check_lengths(&fields)?;
     if req.ticket.is_empty() {
         return Ok(demand_ticket(node, &req.kind));
@@ -209,8 +173,8 @@
         time_left: deadline.saturating_duration_since(present),
     };
     let outcome = node.submit(submission).await;
-    node.metrics
-        .outcome(&req.kind, verdict_name(outcome.verdict), outcome.status);
+    let label = label_of(node, &req.kind);
+    node.metrics.outcome(label, verdict_name(outcome.verdict), outcome.status);
     if outcome.verdict != Verdict::Ran {
         let (status, verdict) = (outcome.status, outcome.verdict);
         return Ok(failure(status, verdict, &outcome.error, Duration::ZERO));
@@ -231,9 +195,7 @@
     if let Err(e) = check_submit_kind(node, kind) {
         return refuse(&e);
     }
-    let ticket = node
-        .issue_ticket()
-        .map_or(String::new(), |ticket| ticket.to_string());
+    let ticket = node.issue_ticket().map_or(String::new(), |ticket| ticket.to_string());
     let error = "a submission needs a ticket; send it again with this one";
     failure_with_ticket(428, Verdict::NotRun, error, Duration::ZERO, ticket)
 }
@@ -241,134 +203,26 @@
 /// Returns the deadline of a kind of submissions.
 fn check_submit_kind<E: Edges>(node: &Node<E>, name: &str) -> Result<Duration, RequestError> {
     let sheet = node.values.sheet().ok_or(RequestError::NotReady)?;
-    let (_, kind) = sheet
-        .kind(name)
-        .ok_or_else(|| RequestError::UnknownKind(name.to_owned()))?;
+    let (_, kind) = sheet.kind(name).ok_or_else(|| RequestError::UnknownKind(name.to_owned()))?;
     match kind.operation {
         Operation::Submit => Ok(kind.deadline),
         Operation::Search | Operation::Fetch => Err(RequestError::WrongOperation(name.to_owned())),
     }
 }
 
-fn answer<E: Edges>(
-    node: &Node<E>,
-    kind: &str,
-    status: u16,
-    gathered: Gathered,
-    started: Instant,
-) -> Reply {
-    node.metrics
-        .outcome(kind, verdict_name(Verdict::Ran), status);
-    let elapsed = now().saturating_duration_since(started);
-    let coverage = gathered.coverage;
-    let missing = gathered.missing.into_iter().map(|missing| wire::Missing {
-        shard: missing.shard,
-        documents: missing.documents,
-        reason: missing.reason.to_string(),
-    });
-    let firms = gathered
-        .firms
-        .into_iter()
-        .map(|(firm, coverage)| wire::FirmCoverage {
-            firm: firm.to_string(),
-            covered: coverage.covered,
-            total: coverage.total,
-        });
-    let entries = gathered.entries.into_iter().map(|entry| wire::Entry {
-        key: entry.key,
-        firm: entry.firm.to_string(),
-        title: entry.title,
-        score: entry.score,
-    });
-    let body = wire::Answer {
-        request_id: gathered.request_id,
-        verdict: wire::Verdict::Ran.into(),
-        snapshot: gathered.snapshot,
-        coverage: Some(wire::Coverage {
-            covered: coverage.covered,
-            total: coverage.total,
-            missing: missing.collect(),
-            firms: firms.collect(),
-        }),
-        complete: coverage.is_complete(),
-        entries: entries.collect(),
-        total_hits: gathered.total_hits,
-        elapsed_ms: u32::try_from(elapsed.as_millis()).unwrap_or(u32::MAX),
-        host: node.settings.host.to_string(),
-        revision: gathered.revision,
-    };
-    reply(status, Verdict::Ran, &body)
-}
-
 fn refuse_kind<E: Edges>(node: &Node<E>, kind: &str, e: &RequestError) -> Reply {
-    // The label must be bounded: callers could otherwise fill the memory with made-up kinds.
-    let label = if matches!(e, RequestError::UnknownKind(_)) {
-        "unknown"
-    } else {
-        kind
-    };
-    node.metrics
-        .outcome(label, verdict_name(e.verdict()), e.status());
+    let label = label_of(node, kind);
+    node.metrics.outcome(label, verdict_name(e.verdict()), e.status());
     refuse(e)
 }
 
-fn refuse(e: &RequestError) -> Reply {
-    failure(e.status(), e.verdict(), &e.to_string(), e.retry_after())
-}
-
-fn verdict_name(verdict: Verdict) -> &'static str {
-    wire_verdict(verdict).as_str_name()
-}
-
-fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, BadRequest> {
-    serde_json::from_slice(body)
-        .map_err(|e| BadRequest(format!("the body is not the JSON expected here: {e}")))
+/// Returns the metrics' label of a kind. Labels must be bounded: callers could otherwise fill the
+/// memory with made-up kinds.
+fn label_of<'a, E: Edges>(node: &Node<E>, kind: &'a str) -> &'a str {
+    let known = node.values.sheet().is_some_and(|sheet| sheet.kind(kind).is_some());
+    if known { kind } else { "unknown" }
 }
 
-fn check_lengths(fields: &[(&str, &String)]) -> Result<(), BadRequest> {
-    for (name, value) in fields {
-        if value.len() > MAX_FIELD {
-            let length = value.len();
-            return Err(BadRequest(format!(
-                "`{name}` has {length} bytes, more than {MAX_FIELD}"
-            )));
-        }
-    }
-    Ok(())
-}
-
-fn read_deadline(headers: &HeaderMap, present: Instant) -> Result<Option<Instant>, BadRequest> {
-    let Some(value) = headers.get(DEADLINE_HEADER) else {
-        return Ok(None);
-    };
-    let millis = value.to_str().ok().and_then(|text| text.parse().ok());
-    let limit = millis
-        .map(Duration::from_millis)
-        .filter(|limit| *limit <= MAX_WAIT);
-    match limit {
-        Some(limit) => Ok(Some(present + limit)),
-        None => Err(BadRequest(format!(
-            "`{DEADLINE_HEADER}` is {value:?}; give a number of milliseconds up to 600000"
-        ))),
-    }
-}
-
-/// Counts a caller's request while it is in progress.
-struct InProgress<E: Edges> {
-    node: Arc<Node<E>>,
-    /// Requests in progress, this one included.
-    count: u32,
-}
-
-impl<E: Edges> InProgress<E> {
-    fn new(node: Arc<Node<E>>) -> Self {
-        let count = node.in_progress.fetch_add(1, Ordering::AcqRel) + 1;
-        Self { node, count }
-    }
-}
-
-impl<E: Edges> Drop for InProgress<E> {
-    fn drop(&mut self) {
-        self.node.in_progress.fetch_sub(1, Ordering::AcqRel);
-    }
+fn refuse(e: &RequestError) -> Reply {
+    failure(e.status(), e.verdict(), &e.to_string(), e.retry_after())
 }
--- a/crates/host/src/front/mod.rs
+++ b/crates/host/src/front/mod.rs
@@ -1,6 +1,9 @@
 //! The HTTP sides of a host: callers and operators.
 
+mod answer;
 mod callers;
+mod decode;
+mod in_progress;
 mod operators;
 mod reply;
 
--- a/crates/host/src/front/operators.rs
+++ b/crates/host/src/front/operators.rs
@@ -31,10 +31,7 @@
         (&Method::GET, _) if path.starts_with(EXPLAIN_PATH) => {
             explain(&node, &path[EXPLAIN_PATH.len()..])
         }
-        (method, _) => text(
-            StatusCode::NOT_FOUND,
-            format!("there is no {method} {path}\n"),
-        ),
+        (method, _) => text(StatusCode::NOT_FOUND, format!("there is no {method} {path}\n")),
     }
 }
 
@@ -54,14 +51,10 @@
 
 fn explain<E: Edges>(node: &Node<E>, request_id: &str) -> Reply {
     match node.explain.get(request_id) {
-        Some(decisions) => message(&Explanation {
-            request_id: request_id.to_owned(),
-            decisions,
-        }),
-        None => text(
-            StatusCode::NOT_FOUND,
-            format!("request `{request_id}` is not remembered here\n"),
-        ),
+        Some(decisions) => message(&Explanation { request_id: request_id.to_owned(), decisions }),
+        None => {
+            text(StatusCode::NOT_FOUND, format!("request `{request_id}` is not remembered here\n"))
+        }
     }
 }
 
--- a/crates/host/src/front/reply.rs
+++ b/crates/host/src/front/reply.rs
@@ -18,10 +18,8 @@
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let body = serde_json::to_vec(body).expect("generated messages are always valid JSON");
     let mut reply = json(status, body);
-    let name = wire_verdict(verdict).as_str_name();
-    reply
-        .headers_mut()
-        .insert(VERDICT_HEADER, HeaderValue::from_static(name));
+    let name = HeaderValue::from_static(verdict_name(verdict));
+    reply.headers_mut().insert(VERDICT_HEADER, name);
     reply
 }
 
@@ -49,10 +47,7 @@
     if retry_after_ms > 0 {
         let headers = reply.headers_mut();
         headers.insert(RETRY_AFTER_MS_HEADER, HeaderValue::from(retry_after_ms));
-        headers.insert(
-            RETRY_AFTER,
-            HeaderValue::from(retry_after_ms.div_ceil(1_000)),
-        );
+        headers.insert(RETRY_AFTER, HeaderValue::from(retry_after_ms.div_ceil(1_000)));
     }
     reply
 }
@@ -70,3 +65,8 @@
         Verdict::MayHaveRun => wire::Verdict::MayHaveRun,
     }
 }
+
+/// Returns the name of a verdict on the wire.
+pub fn verdict_name(verdict: Verdict) -> &'static str {
+    wire_verdict(verdict).as_str_name()
+}
--- a/crates/host/src/gather/beliefs.rs
+++ b/crates/host/src/gather/beliefs.rs
@@ -6,6 +6,7 @@
 
 use galenaloft_policy::admission::Draw;
 use galenaloft_policy::admission::ToldShare;
+use galenaloft_policy::attempt::FailureReason;
 use galenaloft_policy::catalogue::SnapshotSpec;
 use galenaloft_policy::ids::CollectionName;
 use galenaloft_policy::ids::HostId;
@@ -32,8 +33,39 @@
 }
 
 impl Beliefs {
-    /// Notes that a searcher does not hold a snapshot.
-    pub fn note_lack(
+    /// Learns from an attempt on a searcher that failed.
+    pub fn note_failure(
+        &mut self,
+        searcher: &SearcherId,
+        collection: &CollectionName,
+        snapshot: SnapshotId,
+        reason: &FailureReason,
+        now: Instant,
+    ) {
+        match reason {
+            FailureReason::WrongSnapshot(_) => {
+                self.replicas.note_ended(searcher);
+                self.note_lack(searcher, collection, snapshot, now);
+            }
+            FailureReason::Draining => {
+                self.replicas.note_ended(searcher);
+                self.replicas.note_draining(searcher, now);
+            }
+            FailureReason::PeerLost
+            | FailureReason::Cancelled
+            | FailureReason::Shed
+            | FailureReason::QueueFull
+            | FailureReason::Expired => self.replicas.note_ended(searcher),
+            FailureReason::ConnectFailed
+            | FailureReason::Refused(_)
+            | FailureReason::ConnectionLost
+            | FailureReason::TimedOut
+            | FailureReason::BadReply(_)
+            | FailureReason::NoReplica => self.replicas.note_failed(searcher, now),
+        }
+    }
+
+    fn note_lack(
         &mut self,
         searcher: &SearcherId,
         collection: &CollectionName,
@@ -76,10 +108,7 @@
     pub fn admits(&self, snapshot: &SnapshotSpec, rank: Rank, draw: Draw, now: Instant) -> bool {
         let admits = |searcher: &SearcherId| self.admits_at(searcher, rank, draw, now);
         self.admitted.is_empty()
-            || snapshot
-                .shards
-                .iter()
-                .all(|shard| shard.replicas.iter().any(admits))
+            || snapshot.shards.iter().all(|shard| shard.replicas.iter().any(admits))
     }
 
     /// Returns whether a searcher is believed to admit a query with this draw.
--- a/crates/host/src/gather/explain.rs
+++ b/crates/host/src/gather/explain.rs
@@ -54,9 +54,7 @@
             inner.decisions.remove(&oldest);
         }
         inner.order.push_back(request_id.to_owned());
-        inner
-            .decisions
-            .insert(request_id.to_owned(), trace.into_decisions());
+        inner.decisions.insert(request_id.to_owned(), trace.into_decisions());
     }
 
     /// Returns the decisions of a request, if it is remembered.
--- a/crates/host/src/gather/fetch.rs
+++ b/crates/host/src/gather/fetch.rs
@@ -3,11 +3,13 @@
 use galenaloft_policy::catalogue::CoverageCounter;
 use galenaloft_policy::catalogue::SnapshotSpec;
 use galenaloft_policy::catalogue::key_hash;
+use galenaloft_policy::verdict::Verdict;
 
 use crate::clock::sleep_until;
 use crate::edges::Edges;
 use crate::gather::Gathered;
 use crate::gather::RequestError;
+use crate::gather::ShardTask;
 use crate::gather::plan::Plan;
 use crate::gather::search::collection_of;
 use crate::node::Node;
@@ -21,28 +23,21 @@
         let none = || RequestError::NoSnapshot(plan.kind.collection.to_string());
         let collection = collection_of(plan)?;
         let id = self.snapshot_for(plan, collection).ok_or_else(none)?;
-        let shard = collection.snapshots[&id]
-            .shard_of(key_hash(&plan.text))
-            .ok_or_else(none)?;
-        let attempt = self.run_shard(plan, id, shard);
+        let shard = collection.snapshots[&id].shard_of(key_hash(&plan.text)).ok_or_else(none)?;
+        let attempt = ShardTask::new(self, plan, id, shard).run();
         let result = tokio::select! {
             biased;
             result = attempt => result,
             () = sleep_until(plan.deadline) => {
                 let why = "the deadline passed".to_owned();
-                return Err(RequestError::Failed(galenaloft_policy::verdict::Verdict::MayHaveRun, why));
+                return Err(RequestError::Failed(Verdict::MayHaveRun, why));
             }
         };
         let result = result.map_err(|e| RequestError::Failed(e.verdict, e.reason.to_string()))?;
-        let part = SnapshotSpec {
-            shards: vec![shard.clone()],
-        };
+        let part = SnapshotSpec { shards: vec![shard.clone()] };
         let mut counter = CoverageCounter::new(&part);
         counter.cover(shard.id, result.documents);
-        let entries = result
-            .entries
-            .into_iter()
-            .filter(|entry| entry.key == plan.text);
+        let entries = result.entries.into_iter().filter(|entry| entry.key == plan.text);
         let entries: Vec<_> = entries.take(1).collect();
         Ok(Gathered {
             request_id: plan.request_id.clone(),
--- /dev/null
+++ b/crates/host/src/gather/in_flight.rs
@@ -0,0 +1,44 @@
+//! Counting the attempts on a searcher that are in flight.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use galenaloft_policy::ids::SearcherId;
+
+use crate::clock::now;
+use crate::edges::Edges;
+use crate::node::Node;
+use crate::sync::lock;
+
+/// Counts an attempt as in flight until it ends or is given up.
+pub struct InFlight<'a, E: Edges> {
+    node: &'a Node<E>,
+    searcher: &'a SearcherId,
+    sent: Instant,
+    ended: bool,
+}
+
+impl<'a, E: Edges> InFlight<'a, E> {
+    /// Starts counting an attempt that is sent at `sent`.
+    pub fn new(node: &'a Node<E>, searcher: &'a SearcherId, sent: Instant) -> Self {
+        lock(&node.beliefs).replicas.note_sent(searcher);
+        Self { node, searcher, sent, ended: false }
+    }
+
+    /// Stops counting an attempt that has ended. Returns how long it took.
+    pub fn end(mut self, now: Instant) -> Duration {
+        self.ended = true;
+        now.saturating_duration_since(self.sent)
+    }
+}
+
+impl<E: Edges> Drop for InFlight<'_, E> {
+    fn drop(&mut self) {
+        if !self.ended {
+            let present = now();
+            let waited = present.saturating_duration_since(self.sent);
+            let mut beliefs = lock(&self.node.beliefs);
+            beliefs.replicas.note_abandoned(self.searcher, waited, present);
+        }
+    }
+}
--- a/crates/host/src/gather/kinds.rs
+++ b/crates/host/src/gather/kinds.rs
@@ -46,8 +46,7 @@
     pub fn note_answer(&mut self, latency: Duration, complete: bool) {
         self.answered += 1;
         self.incomplete += u32::from(!complete);
-        self.latency
-            .saturating_record(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
+        self.latency.saturating_record(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
     }
 
     /// Counts a refused or failed request.
@@ -92,9 +91,6 @@
 
     /// Returns the counters of every kind.
     pub fn status(&self) -> Vec<KindStatus> {
-        lock(&self.kinds)
-            .iter()
-            .map(|(name, state)| lock(state).status(name))
-            .collect()
+        lock(&self.kinds).iter().map(|(name, state)| lock(state).status(name)).collect()
     }
 }
--- a/crates/host/src/gather/route.rs
+++ b/crates/host/src/gather/route.rs
@@ -48,25 +48,16 @@
         owner: &HostFact,
         req: AttemptRequest,
     ) -> Result<AttemptReply, AttemptFailure> {
-        let late = if req.operation.is_idempotent() {
-            Duration::ZERO
-        } else {
-            LATE_REPLY
-        };
+        let late = if req.operation.is_idempotent() { Duration::ZERO } else { LATE_REPLY };
         let limit = req.time_left + late + OWNER_GRACE;
         let call = self
             .links
-            .call(owner.address, limit, |peer, cx| async move {
-                peer.execute(cx, req).await
-            });
+            .call(owner.address, limit, |peer, cx| async move { peer.execute(cx, req).await });
         match call.await {
             Ok(reply) => Ok(reply),
             Err(e) => {
                 lock(&self.beliefs).note_silent(&owner.host, now());
-                Err(AttemptFailure {
-                    verdict: e.verdict,
-                    reason: FailureReason::PeerLost,
-                })
+                Err(AttemptFailure { verdict: e.verdict, reason: FailureReason::PeerLost })
             }
         }
     }
@@ -82,9 +73,7 @@
             return owners.get(version, spec, || choose_owner(&members, spec, |_| true));
         }
         let present = now();
-        choose_owner(&members, spec, |fact| {
-            !beliefs.is_avoided(&fact.host, present)
-        })
+        choose_owner(&members, spec, |fact| !beliefs.is_avoided(&fact.host, present))
     }
 }
 
@@ -125,8 +114,7 @@
             return owner.clone();
         }
         let owner = choose();
-        self.owners
-            .insert(spec.id.clone(), (spec.zone.clone(), owner.clone()));
+        self.owners.insert(spec.id.clone(), (spec.zone.clone(), owner.clone()));
         owner
     }
 }
--- a/crates/host/src/gather/search.rs
+++ b/crates/host/src/gather/search.rs
@@ -28,6 +28,7 @@
 use crate::gather::Gathered;
 use crate::gather::Query;
 use crate::gather::RequestError;
+use crate::gather::ShardTask;
 use crate::gather::explain::Trace;
 use crate::gather::plan::AttemptCounts;
 use crate::gather::plan::Plan;
@@ -77,21 +78,14 @@
         }
         let (stamp, sheet) = self.values.stamped_sheet().ok_or(RequestError::NotReady)?;
         let layout = self.values.layout().ok_or(RequestError::NotReady)?;
-        let (kind_name, kind) = sheet
-            .kind(&query.kind)
-            .ok_or_else(|| RequestError::UnknownKind(query.kind.clone()))?;
+        let (kind_name, kind) =
+            sheet.kind(&query.kind).ok_or_else(|| RequestError::UnknownKind(query.kind.clone()))?;
         if kind.operation != query.operation {
             return Err(RequestError::WrongOperation(query.kind.clone()));
         }
         let deadline = present + kind.deadline.saturating_sub(ANSWER_TIME);
-        let deadline = query
-            .caller_deadline
-            .map_or(deadline, |caller| caller.min(deadline));
-        let limit = if query.limit == 0 {
-            DEFAULT_LIMIT
-        } else {
-            query.limit.min(MAX_LIMIT)
-        };
+        let deadline = query.caller_deadline.map_or(deadline, |caller| caller.min(deadline));
+        let limit = if query.limit == 0 { DEFAULT_LIMIT } else { query.limit.min(MAX_LIMIT) };
         let request_id = self.next_request_id();
         Ok(Plan {
             draw: Draw::of(&request_id),
@@ -128,10 +122,7 @@
             let scatter = self.scatter(plan, id, &collection.snapshots[&id]).await;
             let ratio = scatter.gathered.coverage.ratio();
             let retry = scatter.lacking && ratio < plan.kind.coverage_floor;
-            if best
-                .as_ref()
-                .is_none_or(|b| ratio > b.gathered.coverage.ratio())
-            {
+            if best.as_ref().is_none_or(|b| ratio > b.gathered.coverage.ratio()) {
                 best = Some(scatter);
             }
             if !retry || now() >= plan.deadline {
@@ -139,17 +130,12 @@
             }
         }
         let none = || RequestError::NoSnapshot(plan.kind.collection.to_string());
-        let Scatter {
-            gathered, verdict, ..
-        } = best.ok_or_else(none)?;
+        let Scatter { gathered, verdict, .. } = best.ok_or_else(none)?;
         let nothing = gathered.coverage.covered == 0 && gathered.coverage.total > 0;
         if verdict == Verdict::Ran || !nothing {
             return Ok(gathered);
         }
-        let why = gathered
-            .missing
-            .first()
-            .map_or(String::new(), |m| m.reason.to_string());
+        let why = gathered.missing.first().map_or(String::new(), |m| m.reason.to_string());
         Err(RequestError::Failed(verdict, why))
     }
 
@@ -169,13 +155,9 @@
     ) -> Option<SnapshotId> {
         let present = now();
         let beliefs = lock(&self.beliefs);
-        choose_snapshot(
-            collection,
-            plan.kind.coverage_floor,
-            |searcher, snapshot| {
-                beliefs.is_usable(searcher, &plan.kind.collection, snapshot, present)
-            },
-        )
+        choose_snapshot(collection, plan.kind.coverage_floor, |searcher, snapshot| {
+            beliefs.is_usable(searcher, &plan.kind.collection, snapshot, present)
+        })
     }
 
     /// Asks every shard of one snapshot until all answered, the floor is met and the rest is
@@ -185,11 +167,14 @@
         let mut merge = Merge::default();
         let mut verdict = Verdict::NotRun;
         let mut lacking = false;
-        let mut running: FuturesUnordered<_> = snapshot
-            .shards
-            .iter()
-            .map(|shard| async move { (shard.id, self.run_shard(plan, id, shard).await) })
-            .collect();
+        let mut running: FuturesUnordered<_> =
+            snapshot
+                .shards
+                .iter()
+                .map(|shard| async move {
+                    (shard.id, ShardTask::new(self, plan, id, shard).run().await)
+                })
+                .collect();
         let late = self.late_after(plan);
         while !running.is_empty() {
             let met = counter.coverage().ratio() >= plan.kind.coverage_floor;
@@ -204,13 +189,7 @@
                     verdict = Verdict::Ran;
                     add(&mut counter, &mut merge, shard, result);
                 }
-                (
-                    shard,
-                    Err(AttemptFailure {
-                        verdict: attempt,
-                        reason,
-                    }),
-                ) => {
+                (shard, Err(AttemptFailure { verdict: attempt, reason })) => {
                     if verdict == Verdict::NotRun {
                         verdict = attempt;
                     }
@@ -232,11 +211,7 @@
             entries: merge.finish(plan.limit as usize, plan.kind.spread),
             revision: plan.revision,
         };
-        Scatter {
-            gathered,
-            verdict,
-            lacking,
-        }
+        Scatter { gathered, verdict, lacking }
     }
 
     /// Returns when an answer that meets its floor goes out without the shards still missing.
@@ -261,8 +236,7 @@
             (AttemptRole::Hedge, &attempts.hedges),
             (AttemptRole::Retry, &attempts.retries),
         ] {
-            self.metrics
-                .attempts(kind, role, count.load(Ordering::Relaxed));
+            self.metrics.attempts(kind, role, count.load(Ordering::Relaxed));
         }
         let mut state = lock(&plan.kind_state);
         match result {
@@ -270,8 +244,7 @@
                 let coverage = gathered.coverage;
                 state.note_answer(latency, coverage.is_complete());
                 let extra = attempts.extra_load();
-                self.metrics
-                    .answered(kind, plan.kind.rank, latency, coverage.ratio(), extra);
+                self.metrics.answered(kind, plan.kind.rank, latency, coverage.ratio(), extra);
             }
             Err(e) => {
                 state.note_refusal();
--- a/crates/host/src/gather/shard.rs
+++ b/crates/host/src/gather/shard.rs
@@ -19,245 +19,187 @@
 use crate::clock::now;
 use crate::clock::sleep_until;
 use crate::edges::Edges;
+use crate::gather::in_flight::InFlight;
 use crate::gather::plan::Plan;
 use crate::node::Node;
 use crate::sync::lock;
 
 type Attempt<'a> = BoxFuture<'a, Result<ShardResult, AttemptFailure>>;
 
-impl<E: Edges> Node<E> {
-    /// Asks the replicas of a shard until one answers, the deadline passes or none is left.
+/// The work on one shard of a query.
+pub struct ShardTask<'a, E: Edges> {
+    node: &'a Node<E>,
+    plan: &'a Plan,
+    snapshot: SnapshotId,
+    shard: &'a ShardSpec,
+    /// Replicas that were asked already.
+    tried: Vec<SearcherId>,
+    /// `MayHaveRun` once any attempt may have run.
+    verdict: Verdict,
+}
+
+impl<'a, E: Edges> ShardTask<'a, E> {
+    /// Prepares the work; nothing is sent yet.
+    pub fn new(
+        node: &'a Node<E>,
+        plan: &'a Plan,
+        snapshot: SnapshotId,
+        shard: &'a ShardSpec,
+    ) -> Self {
+        let (tried, verdict) = (Vec::new(), Verdict::NotRun);
+        Self { node, plan, snapshot, shard, tried, verdict }
+    }
+
+    /// Asks the replicas of the shard until one answers, the deadline passes or none is left.
     ///
     /// A non-idempotent attempt is made again only when the last one certainly did not run.
-    pub(crate) async fn run_shard(
-        &self,
-        plan: &Plan,
-        snapshot: SnapshotId,
-        shard: &ShardSpec,
-    ) -> Result<ShardResult, AttemptFailure> {
-        let mut tried = Vec::new();
+    pub async fn run(mut self) -> Result<ShardResult, AttemptFailure> {
         let mut running: FuturesUnordered<Attempt<'_>> = FuturesUnordered::new();
-        let Some(first) = self.next_attempt(plan, snapshot, shard, &mut tried) else {
+        let Some(first) = self.next_attempt() else {
             return Err(AttemptFailure::not_run(FailureReason::NoReplica));
         };
         running.push(first);
-        plan.attempts.first.fetch_add(1, Ordering::Relaxed);
-        let mut hedge_at = self.first_hedge(plan);
-        let mut verdict = Verdict::NotRun;
+        self.plan.attempts.first.fetch_add(1, Ordering::Relaxed);
+        let mut hedge_at = self.first_hedge();
         loop {
-            let hedge_time = hedge_at.unwrap_or(plan.deadline);
+            let hedge_time = hedge_at.unwrap_or(self.plan.deadline);
             tokio::select! {
                 biased;
                 Some(result) = running.next() => match result {
                     Ok(result) => return Ok(result),
-                    Err(failure) => {
-                        if failure.verdict == Verdict::MayHaveRun {
-                            verdict = Verdict::MayHaveRun;
+                    Err(failure) => match self.after_failure(&failure) {
+                        Some(retry) => running.push(retry),
+                        None if running.is_empty() => {
+                            return Err(AttemptFailure { verdict: self.verdict, ..failure });
                         }
-                        let failure = AttemptFailure { verdict, ..failure };
-                        match self.after_failure(plan, snapshot, shard, &mut tried, &failure) {
-                            Some(retry) => running.push(retry),
-                            None if running.is_empty() => return Err(failure),
-                            None => {}
-                        }
-                    }
+                        None => {}
+                    },
                 },
                 () = sleep_until(hedge_time), if hedge_at.is_some() => {
                     hedge_at = None;
-                    if let Some(hedge) = self.hedge(plan, snapshot, shard, &mut tried) {
-                        running.push(hedge);
-                    }
+                    running.extend(self.hedge());
                 }
             }
         }
     }
 
-    fn first_hedge(&self, plan: &Plan) -> Option<Instant> {
-        let mut state = lock(&plan.kind_state);
+    fn first_hedge(&self) -> Option<Instant> {
+        let mut state = lock(&self.plan.kind_state);
         state.hedge.note_first_attempt();
         state.retry.note_first_attempt();
-        if !plan.kind.operation.is_idempotent() {
+        if !self.plan.kind.operation.is_idempotent() {
             return None;
         }
-        state.hedge.hedge_at(now()).filter(|at| *at < plan.deadline)
+        state.hedge.hedge_at(now()).filter(|at| *at < self.plan.deadline)
     }
 
-    fn hedge<'a>(
-        &'a self,
-        plan: &'a Plan,
-        snapshot: SnapshotId,
-        shard: &'a ShardSpec,
-        tried: &mut Vec<SearcherId>,
-    ) -> Option<Attempt<'a>> {
-        let loaded = lock(&self.beliefs).is_shedding(&shard.replicas, plan.kind.rank, now());
+    fn hedge(&mut self) -> Option<Attempt<'a>> {
+        let (plan, replicas) = (self.plan, &self.shard.replicas);
+        let loaded = lock(&self.node.beliefs).is_shedding(replicas, plan.kind.rank, now());
         // Where work waits for slots, a second attempt only makes the queues longer.
-        if loaded || tried.len() >= shard.replicas.len() || !lock(&plan.kind_state).hedge.spend() {
+        if loaded || self.tried.len() >= replicas.len() || !lock(&plan.kind_state).hedge.spend() {
             return None;
         }
-        let hedge = self.next_attempt(plan, snapshot, shard, tried)?;
+        let hedge = self.next_attempt()?;
         plan.attempts.hedges.fetch_add(1, Ordering::Relaxed);
-        plan.trace
-            .note(|| format!("shard {}: hedged to {}", shard.id, last(tried)));
+        self.note(|last| format!("hedged to {last}"));
         Some(hedge)
     }
 
-    fn after_failure<'a>(
-        &'a self,
-        plan: &'a Plan,
-        snapshot: SnapshotId,
-        shard: &'a ShardSpec,
-        tried: &mut Vec<SearcherId>,
-        failure: &AttemptFailure,
-    ) -> Option<Attempt<'a>> {
-        plan.trace
-            .note(|| format!("shard {}: {}: {}", shard.id, last(tried), failure.reason));
-        let safe = plan.kind.operation.is_idempotent() || failure.verdict == Verdict::NotRun;
+    fn after_failure(&mut self, failure: &AttemptFailure) -> Option<Attempt<'a>> {
+        let plan = self.plan;
+        if failure.verdict == Verdict::MayHaveRun {
+            self.verdict = Verdict::MayHaveRun;
+        }
+        self.note(|last| format!("{last}: {}", failure.reason));
+        let safe = plan.kind.operation.is_idempotent() || self.verdict == Verdict::NotRun;
         if !safe || now() >= plan.deadline || !lock(&plan.kind_state).retry.spend() {
             return None;
         }
         if failure.reason == FailureReason::PeerLost {
             // The searcher did nothing wrong: another owner may reach it.
-            tried.pop();
+            self.tried.pop();
         }
-        let retry = self.next_attempt(plan, snapshot, shard, tried)?;
+        let retry = self.next_attempt()?;
         plan.attempts.retries.fetch_add(1, Ordering::Relaxed);
-        plan.trace
-            .note(|| format!("shard {}: retried on {}", shard.id, last(tried)));
+        self.note(|last| format!("retried on {last}"));
         Some(retry)
     }
 
     /// Prepares an attempt on the best replica that was not tried yet.
-    fn next_attempt<'a>(
-        &'a self,
-        plan: &'a Plan,
-        snapshot: SnapshotId,
-        shard: &'a ShardSpec,
-        tried: &mut Vec<SearcherId>,
-    ) -> Option<Attempt<'a>> {
+    fn next_attempt(&mut self) -> Option<Attempt<'a>> {
         let present = now();
-        let searcher = self.choose_replica(plan, snapshot, shard, tried, present)?;
-        tried.push(searcher.clone());
+        let searcher = self.choose_replica(present)?;
+        self.tried.push(searcher.clone());
+        let plan = self.plan;
         let req = AttemptRequest {
-            attempt: self.next_attempt_id(),
-            searcher: searcher.clone(),
+            attempt: self.node.next_attempt_id(),
+            searcher,
             operation: plan.kind.operation,
             kind: plan.kind_name.clone(),
             rank: plan.kind.rank,
             draw: plan.draw,
             collection: plan.kind.collection.clone(),
-            snapshot,
-            shard: shard.id,
+            snapshot: self.snapshot,
+            shard: self.shard.id,
             text: plan.text.clone(),
             body: plan.body.clone(),
             limit: plan.limit,
             time_left: plan.deadline.saturating_duration_since(present),
         };
-        Some(self.observe_attempt(plan, searcher, req).boxed())
+        Some(observe(self.node, plan, req).boxed())
     }
 
-    fn choose_replica(
-        &self,
-        plan: &Plan,
-        snapshot: SnapshotId,
-        shard: &ShardSpec,
-        tried: &[SearcherId],
-        present: Instant,
-    ) -> Option<SearcherId> {
-        let beliefs = lock(&self.beliefs);
-        let collection = &plan.kind.collection;
+    fn choose_replica(&self, present: Instant) -> Option<SearcherId> {
+        let (node, plan) = (self.node, self.plan);
+        let (collection, rank) = (&plan.kind.collection, plan.kind.rank);
         let submits = !plan.kind.operation.is_idempotent();
-        let usable = shard.replicas.iter().filter(|id| {
-            !tried.contains(id)
-                && !self.is_listed_leaving(id)
-                && beliefs.is_usable(id, collection, snapshot, present)
-                && (submits || beliefs.admits_at(id, plan.kind.rank, plan.draw, present))
+        let beliefs = lock(&node.beliefs);
+        let usable = self.shard.replicas.iter().filter(|id| {
+            !self.tried.contains(id)
+                && !node.is_listed_leaving(id)
+                && beliefs.is_usable(id, collection, self.snapshot, present)
+                && (submits || beliefs.admits_at(id, rank, plan.draw, present))
         });
         let zoned = usable.filter_map(|id| {
             let spec = plan.layout.searchers.get(id)?;
-            Some((id, spec.zone == self.settings.zone))
+            Some((id, spec.zone == node.settings.zone))
         });
         beliefs.replicas.choose(zoned, present).cloned()
     }
 
-    /// Runs an attempt and learns from its outcome, also when it is given up.
-    async fn observe_attempt(
-        &self,
-        plan: &Plan,
-        searcher: SearcherId,
-        req: AttemptRequest,
-    ) -> Result<ShardResult, AttemptFailure> {
-        let Some(spec) = plan.layout.searchers.get(&searcher) else {
-            return Err(AttemptFailure::not_run(FailureReason::NoReplica));
-        };
-        let (collection, snapshot) = (req.collection.clone(), req.snapshot);
-        let sent = now();
-        let mut guard = InFlight::new(self, &searcher, sent);
-        let result = self.run_attempt(spec, req).await;
-        guard.ended = true;
-        let present = now();
-        let latency = present.saturating_duration_since(sent);
-        let mut beliefs = lock(&self.beliefs);
-        match &result {
-            Ok(_) => beliefs.replicas.note_ran(&searcher, latency, present),
-            Err(failure) => match &failure.reason {
-                FailureReason::WrongSnapshot(_) => {
-                    beliefs.replicas.note_ended(&searcher);
-                    beliefs.note_lack(&searcher, &collection, snapshot, present);
-                }
-                FailureReason::Draining => {
-                    beliefs.replicas.note_ended(&searcher);
-                    beliefs.replicas.note_draining(&searcher, present);
-                }
-                FailureReason::PeerLost
-                | FailureReason::Cancelled
-                | FailureReason::Shed
-                | FailureReason::QueueFull
-                | FailureReason::Expired => {
-                    beliefs.replicas.note_ended(&searcher);
-                }
-                _ => beliefs.replicas.note_failed(&searcher, present),
-            },
-        }
-        drop(beliefs);
-        if result.is_ok() {
-            lock(&plan.kind_state).hedge.note_latency(latency, present);
-        }
-        result
+    fn note(&self, decision: impl FnOnce(&str) -> String) {
+        let last = self.tried.last().map_or("no replica", |id| id);
+        self.plan.trace.note(|| format!("shard {}: {}", self.shard.id, decision(last)));
     }
 }
 
-fn last(tried: &[SearcherId]) -> &str {
-    tried.last().map_or("no replica", |id| id)
-}
-
-/// Counts an attempt as in flight until it ends or is given up.
-struct InFlight<'a, E: Edges> {
-    node: &'a Node<E>,
-    searcher: &'a SearcherId,
-    sent: Instant,
-    ended: bool,
-}
-
-impl<'a, E: Edges> InFlight<'a, E> {
-    fn new(node: &'a Node<E>, searcher: &'a SearcherId, sent: Instant) -> Self {
-        lock(&node.beliefs).replicas.note_sent(searcher);
-        Self {
-            node,
-            searcher,
-            sent,
-            ended: false,
+/// Runs an attempt and learns from its outcome, also when it is given up.
+async fn observe<E: Edges>(
+    node: &Node<E>,
+    plan: &Plan,
+    req: AttemptRequest,
+) -> Result<ShardResult, AttemptFailure> {
+    let searcher = req.searcher.clone();
+    let Some(spec) = plan.layout.searchers.get(&searcher) else {
+        return Err(AttemptFailure::not_run(FailureReason::NoReplica));
+    };
+    let snapshot = req.snapshot;
+    let in_flight = InFlight::new(node, &searcher, now());
+    let result = node.run_attempt(spec, req).await;
+    let present = now();
+    let latency = in_flight.end(present);
+    let mut beliefs = lock(&node.beliefs);
+    match &result {
+        Ok(_) => {
+            beliefs.replicas.note_ran(&searcher, latency, present);
+            drop(beliefs);
+            lock(&plan.kind_state).hedge.note_latency(latency, present);
         }
-    }
-}
-
-impl<E: Edges> Drop for InFlight<'_, E> {
-    fn drop(&mut self) {
-        if !self.ended {
-            let present = now();
-            let waited = present.saturating_duration_since(self.sent);
-            lock(&self.node.beliefs)
-                .replicas
-                .note_abandoned(self.searcher, waited, present);
+        Err(failure) => {
+            let collection = &plan.kind.collection;
+            beliefs.note_failure(&searcher, collection, snapshot, &failure.reason, present);
         }
     }
+    result
 }
--- a/crates/host/src/gossip/prober.rs
+++ b/crates/host/src/gossip/prober.rs
@@ -54,9 +54,7 @@
         return false;
     }
     let relays = lock(&node.members).relays(&target.host, RELAYS);
-    let probes = relays
-        .iter()
-        .map(|relay| probe_through(node, relay, target));
+    let probes = relays.iter().map(|relay| probe_through(node, relay, target));
     if !join_all(probes).await.contains(&true) {
         note_changes(lock(&node.members).suspect(&target.host, now()));
     }
@@ -72,9 +70,7 @@
     let probe = message(node, wants_all, false);
     let reply = node
         .links
-        .call(address, PROBE_TIMEOUT, |peer, cx| async move {
-            peer.probe(cx, probe).await
-        })
+        .call(address, PROBE_TIMEOUT, |peer, cx| async move { peer.probe(cx, probe).await })
         .await;
     match reply {
         Ok(reply) => {
@@ -90,9 +86,7 @@
     let limit = PROBE_TIMEOUT * 2;
     let call = node
         .links
-        .call(relay.address, limit, |peer, cx| async move {
-            peer.probe_through(cx, target).await
-        });
+        .call(relay.address, limit, |peer, cx| async move { peer.probe_through(cx, target).await });
     call.await.unwrap_or(false)
 }
 
@@ -105,16 +99,8 @@
 
 fn message<E: Edges>(node: &Node<E>, wants_all: bool, gives_all: bool) -> Probe {
     let mut members = lock(&node.members);
-    let facts = if gives_all {
-        members.all_facts()
-    } else {
-        members.gossip()
-    };
-    Probe {
-        stamps: node.values.stamps(),
-        facts,
-        wants_all,
-    }
+    let facts = if gives_all { members.all_facts() } else { members.gossip() };
+    Probe { stamps: node.values.stamps(), facts, wants_all }
 }
 
 /// Learns from a probe or a reply, whose first fact is about its sender.
@@ -137,12 +123,7 @@
     for change in changes {
         Event::new("host_changed")
             .with("host", &change.host)
-            .with(
-                "old",
-                change
-                    .old
-                    .map_or("unknown".to_owned(), |old| format!("{old:?}")),
-            )
+            .with("old", change.old.map_or("unknown".to_owned(), |old| format!("{old:?}")))
             .with("new", format!("{:?}", change.new))
             .info();
     }
--- a/crates/host/src/node/background.rs
+++ b/crates/host/src/node/background.rs
@@ -91,9 +91,7 @@
 impl<E: Edges> Node<E> {
     /// Takes no work until a peer or the platform has told which values are in force now.
     async fn resume(self: &Arc<Self>, gap: Duration) {
-        Event::new("process_paused")
-            .with("gap_ms", gap.as_millis())
-            .warn();
+        Event::new("process_paused").with("gap_ms", gap.as_millis()).warn();
         let paused = self.phase.send_if_modified(|phase| {
             let ready = *phase == Phase::Ready;
             if ready {
--- a/crates/host/src/node/drain.rs
+++ b/crates/host/src/node/drain.rs
@@ -37,9 +37,7 @@
     /// were cut.
     pub async fn drain(self: &Arc<Self>) -> u32 {
         self.start_drain();
-        Event::new("drain_started")
-            .with("host", &self.settings.host)
-            .info();
+        Event::new("drain_started").with("host", &self.settings.host).info();
         sleep(self.settings.drain.balancer_lag).await;
         self.phase.send_replace(Phase::Stopping);
         self.announce_leaving().await;
@@ -47,10 +45,7 @@
         let cut = self.wait_until_idle(limit).await;
         self.hand_over().await;
         self.owner.close();
-        Event::new("drain_ended")
-            .with("host", &self.settings.host)
-            .with("cut", cut)
-            .info();
+        Event::new("drain_ended").with("host", &self.settings.host).with("cut", cut).info();
         cut
     }
 
@@ -60,30 +55,16 @@
             let mut members = lock(&self.members);
             let adopted = members.own().adopted.clone();
             members.update_own(HostState::Leaving, adopted);
-            members
-                .facts()
-                .filter(|f| f.host != self.settings.host)
-                .cloned()
-                .collect()
+            members.facts().filter(|f| f.host != self.settings.host).cloned().collect()
         };
-        join_all(
-            targets
-                .iter()
-                .map(|target| probe_directly(self, target.address, false)),
-        )
-        .await;
+        join_all(targets.iter().map(|target| probe_directly(self, target.address, false))).await;
     }
 
     /// Returns the requests, tickets or attempts that are in progress, whichever are most.
     pub fn requests_in_progress(&self) -> u32 {
         let callers = self.in_progress.load(Ordering::Acquire);
         let tickets = lock(&self.tickets).running() as u32;
-        let attempts = self
-            .owner
-            .loads()
-            .iter()
-            .map(|q| q.waiting as u32 + q.running)
-            .sum();
+        let attempts = self.owner.loads().iter().map(|q| q.waiting as u32 + q.running).sum();
         callers.max(tickets).max(attempts)
     }
 
--- a/crates/host/src/node/model.rs
+++ b/crates/host/src/node/model.rs
@@ -206,10 +206,7 @@
         if key == PublishedKey::Sheet
             && let Some(sheet) = self.values.sheet()
         {
-            let floors = sheet
-                .ranks
-                .iter()
-                .map(|(rank, policy)| (*rank, policy.floor));
+            let floors = sheet.ranks.iter().map(|(rank, policy)| (*rank, policy.floor));
             self.owner.set_floors(floors.collect());
             lock(&self.tickets).set_life(sheet.ticket_life);
         }
@@ -229,10 +226,7 @@
     ) -> AttemptReply {
         if self.is_listed_leaving(&spec.id) {
             let result = Err(AttemptFailure::not_run(FailureReason::Draining));
-            return AttemptReply {
-                result,
-                admitted: 1.0,
-            };
+            return AttemptReply { result, admitted: 1.0 };
         }
         self.owner.execute(spec, req, now()).await
     }
--- a/crates/host/src/node/peer_service.rs
+++ b/crates/host/src/node/peer_service.rs
@@ -86,9 +86,7 @@
     async fn execute(self, _: Context, req: AttemptRequest) -> AttemptReply {
         let node = &self.0;
         let layout = node.values.layout();
-        let spec = layout
-            .as_ref()
-            .and_then(|layout| layout.searchers.get(&req.searcher));
+        let spec = layout.as_ref().and_then(|layout| layout.searchers.get(&req.searcher));
         match spec {
             Some(spec) => node.run_as_owner(spec, req).await,
             None => AttemptReply {
--- a/crates/host/src/node/status.rs
+++ b/crates/host/src/node/status.rs
@@ -37,9 +37,7 @@
 
     fn peer_status(&self) -> Vec<PeerStatus> {
         let members = lock(&self.members);
-        let peers = members
-            .facts()
-            .filter(|fact| fact.host != self.settings.host);
+        let peers = members.facts().filter(|fact| fact.host != self.settings.host);
         let status = peers.map(|fact| PeerStatus {
             host: fact.host.to_string(),
             zone: fact.zone.to_string(),
--- a/crates/host/src/owner/mod.rs
+++ b/crates/host/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! The owner's role: queues before searchers, and the slots behind them.
 
 mod control;
+mod job;
 mod queue;
 mod registry;
 mod slot;
--- a/crates/host/src/owner/queue.rs
+++ b/crates/host/src/owner/queue.rs
@@ -7,10 +7,7 @@
 use std::time::Instant;
 
 use galenaloft_policy::admission::AdmissionController;
-use galenaloft_policy::attempt::AttemptFailure;
-use galenaloft_policy::attempt::AttemptRequest;
 use galenaloft_policy::attempt::FailureReason;
-use galenaloft_policy::attempt::ShardResult;
 use galenaloft_policy::catalogue::SearcherSpec;
 use galenaloft_policy::ids::AttemptId;
 use galenaloft_policy::ids::Rank;
@@ -18,8 +15,8 @@
 use galenaloft_policy::queue::RankQueue;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 
+use crate::owner::job::Job;
 use crate::sync::lock;
 
 /// Most attempts that wait for one searcher.
@@ -38,33 +35,6 @@
 /// Longest service time that is assumed, so that a searcher once slow is tried again.
 const MAX_SERVICE_GUESS: Duration = Duration::from_millis(60);
 
-/// Result of an attempt.
-pub type AttemptResult = Result<ShardResult, AttemptFailure>;
-
-/// Where the result of an attempt goes.
-pub type ResultSender = oneshot::Sender<AttemptResult>;
-
-/// An attempt that waits for a slot.
-#[derive(Debug)]
-pub struct Job {
-    /// What to send.
-    pub req: AttemptRequest,
-    /// When it came.
-    pub arrived: Instant,
-    /// When its result is useless.
-    pub deadline: Instant,
-    /// Where the result goes; closed when nobody wants it any more.
-    pub tx: ResultSender,
-}
-
-impl Job {
-    /// Ends the job as not run.
-    pub fn refuse(self, reason: FailureReason) {
-        // The receiver may be gone, which is no loss.
-        let _ = self.tx.send(Err(AttemptFailure::not_run(reason)));
-    }
-}
-
 /// What the last health check of the searcher said.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Health {
@@ -123,12 +93,7 @@
             service: Duration::ZERO,
             used: now,
         };
-        Self {
-            spec,
-            cancels,
-            state: Mutex::new(state),
-            changed: Notify::new(),
-        }
+        Self { spec, cancels, state: Mutex::new(state), changed: Notify::new() }
     }
 
     /// Adds a job, or ends it at once when it cannot be taken.
@@ -201,14 +166,9 @@
         let mut state = self.lock();
         let changed = state.draining != draining;
         state.draining = draining;
-        let jobs = if draining {
-            state.waiting.remove_where(|_| true)
-        } else {
-            Vec::new()
-        };
+        let jobs = if draining { state.waiting.remove_where(|_| true) } else { Vec::new() };
         drop(state);
-        jobs.into_iter()
-            .for_each(|job| job.refuse(FailureReason::Draining));
+        jobs.into_iter().for_each(|job| job.refuse(FailureReason::Draining));
         changed
     }
 
@@ -240,8 +200,7 @@
         let jobs = state.waiting.remove_where(|_| true);
         drop(state);
         self.changed.notify_waiters();
-        jobs.into_iter()
-            .for_each(|job| job.refuse(FailureReason::Draining));
+        jobs.into_iter().for_each(|job| job.refuse(FailureReason::Draining));
     }
 
     /// Returns the admitted share of a rank, from 0.0 to 1.0.
--- a/crates/host/src/owner/registry.rs
+++ b/crates/host/src/owner/registry.rs
@@ -20,7 +20,7 @@
 use crate::clock;
 use crate::edges::SearcherLink;
 use crate::owner::control::run_control;
-use crate::owner::queue::Job;
+use crate::owner::job::Job;
 use crate::owner::queue::SearcherQueue;
 use crate::owner::slot::run_slot;
 use crate::sync::lock;
@@ -79,12 +79,7 @@
         let (rank, deadline) = (req.rank, now + req.time_left);
         let (tx, rx) = oneshot::channel();
         let queue = self.queue(spec, now);
-        let job = Job {
-            req,
-            arrived: now,
-            deadline,
-            tx,
-        };
+        let job = Job { req, arrived: now, deadline, tx };
         queue.push(job, now);
         let lost = || Err(AttemptFailure::may_have_run(FailureReason::ConnectionLost));
         let result = rx.await.unwrap_or_else(|_| lost());
@@ -118,10 +113,7 @@
     /// Returns the load of every queue.
     pub fn loads(&self) -> Vec<QueueLoad> {
         let queues = lock(&self.queues);
-        queues
-            .iter()
-            .map(|(searcher, entry)| load_of(searcher, &entry.queue))
-            .collect()
+        queues.iter().map(|(searcher, entry)| load_of(searcher, &entry.queue)).collect()
     }
 
     fn queue(&self, spec: &SearcherSpec, now: Instant) -> Arc<SearcherQueue> {
@@ -146,12 +138,7 @@
         for _ in 0..spec.slots {
             tokio::spawn(run_slot(queue.clone(), self.link.clone()));
         }
-        tokio::spawn(run_control(
-            queue.clone(),
-            self.link.clone(),
-            cancels_rx,
-            stop_rx,
-        ));
+        tokio::spawn(run_control(queue.clone(), self.link.clone(), cancels_rx, stop_rx));
         Entry { queue, stop }
     }
 }
@@ -164,11 +151,5 @@
 
 fn load_of(searcher: &SearcherId, queue: &SearcherQueue) -> QueueLoad {
     let (waiting, running, draining) = queue.load();
-    QueueLoad {
-        searcher: searcher.clone(),
-        waiting,
-        running,
-        slots: queue.spec.slots,
-        draining,
-    }
+    QueueLoad { searcher: searcher.clone(), waiting, running, slots: queue.spec.slots, draining }
 }
--- a/crates/host/src/owner/slot.rs
+++ b/crates/host/src/owner/slot.rs
@@ -14,9 +14,9 @@
 use crate::clock::sleep_until;
 use crate::edges::SearcherConn;
 use crate::edges::SearcherLink;
-use crate::owner::queue::AttemptResult;
-use crate::owner::queue::Job;
-use crate::owner::queue::ResultSender;
+use crate::owner::job::AttemptResult;
+use crate::owner::job::Job;
+use crate::owner::job::ResultSender;
 use crate::owner::queue::SearcherQueue;
 
 /// How long a cancelled attempt may take to end before its connection is given up.
@@ -45,22 +45,14 @@
     conn: &mut Option<L::Conn>,
     job: Job,
 ) -> bool {
-    let Job {
-        mut req,
-        deadline,
-        mut tx,
-        ..
-    } = job;
+    let Job { mut req, deadline, mut tx, .. } = job;
     for _ in 0..MAX_SENDS {
         if conn.as_ref().is_none_or(|conn| !conn.is_open()) {
             *conn = connect(queue, link, &mut tx).await;
         }
         let present = now();
         let Some(open) = conn.as_mut() else {
-            return finish(
-                tx,
-                Err(AttemptFailure::not_run(FailureReason::ConnectFailed)),
-            );
+            return finish(tx, Err(AttemptFailure::not_run(FailureReason::ConnectFailed)));
         };
         if present >= deadline || tx.is_closed() {
             return finish(tx, Err(AttemptFailure::not_run(FailureReason::Expired)));
@@ -85,19 +77,13 @@
                 return finish(tx, Err(failure));
             }
             Sent::TimedOut => {
-                return finish(
-                    tx,
-                    Err(AttemptFailure::may_have_run(FailureReason::TimedOut)),
-                );
+                return finish(tx, Err(AttemptFailure::may_have_run(FailureReason::TimedOut)));
             }
             Sent::Abandoned { .. } => return false,
         }
     }
     queue.note_down(now());
-    finish(
-        tx,
-        Err(AttemptFailure::not_run(FailureReason::ConnectFailed)),
-    )
+    finish(tx, Err(AttemptFailure::not_run(FailureReason::ConnectFailed)))
 }
 
 async fn connect<L: SearcherLink>(
@@ -145,11 +131,7 @@
     tx: &mut ResultSender,
 ) -> Sent {
     let idempotent = req.operation.is_idempotent();
-    let limit = if idempotent {
-        deadline
-    } else {
-        deadline + LATE_REPLY
-    };
+    let limit = if idempotent { deadline } else { deadline + LATE_REPLY };
     let sending = conn.send(req);
     tokio::pin!(sending);
     tokio::select! {
@@ -163,9 +145,7 @@
     }
     cancel(queue, req);
     let ended = tokio::time::timeout(CANCEL_GRACE, &mut sending).await;
-    Sent::Abandoned {
-        ended: ended.is_ok(),
-    }
+    Sent::Abandoned { ended: ended.is_ok() }
 }
 
 fn cancel(queue: &SearcherQueue, req: &AttemptRequest) {
--- a/crates/host/src/publish/alarms.rs
+++ b/crates/host/src/publish/alarms.rs
@@ -49,10 +49,7 @@
     pub fn raise(&self, alarm: Alarm, reason: &str) {
         let old = lock(&self.raised).insert(alarm, reason.to_owned());
         if old.as_deref() != Some(reason) {
-            Event::new("alarm_raised")
-                .with("alarm", alarm)
-                .with("reason", reason)
-                .warn();
+            Event::new("alarm_raised").with("alarm", alarm).with("reason", reason).warn();
         }
     }
 
@@ -66,9 +63,6 @@
     /// Returns a line for each raised alarm.
     pub fn lines(&self) -> Vec<String> {
         let raised = lock(&self.raised);
-        raised
-            .iter()
-            .map(|(alarm, reason)| format!("{alarm}: {reason}"))
-            .collect()
+        raised.iter().map(|(alarm, reason)| format!("{alarm}: {reason}")).collect()
     }
 }
--- a/crates/host/src/publish/values.rs
+++ b/crates/host/src/publish/values.rs
@@ -45,10 +45,7 @@
 
     /// Returns the stamps of both values.
     pub fn stamps(&self) -> Stamps {
-        Stamps {
-            sheet: lock(&self.sheet).stamp(),
-            layout: lock(&self.layout).stamp(),
-        }
+        Stamps { sheet: lock(&self.sheet).stamp(), layout: lock(&self.layout).stamp() }
     }
 
     /// Returns the keys of which a peer with these stamps has something worth fetching.
@@ -75,10 +72,7 @@
                 (layout.stamp(), layout.text())
             }
         };
-        (stamp > than).then_some(Published {
-            revision: stamp.revision,
-            text,
-        })
+        (stamp > than).then_some(Published { revision: stamp.revision, text })
     }
 
     /// Offers a published text. Returns whether it came into force.
@@ -110,19 +104,13 @@
         Offer::Known | Offer::Older => {}
         Offer::Adopted => {
             alarms.clear(refused);
-            Event::new("value_adopted")
-                .with("key", name)
-                .with("stamp", stamp)
-                .info();
+            Event::new("value_adopted").with("key", name).with("stamp", stamp).info();
         }
         Offer::Conflict { adopted } => {
             let reason = format!("{name} version {} has two texts", stamp.revision);
             alarms.raise(Alarm::RevisionConflict, &reason);
             if *adopted {
-                Event::new("value_adopted")
-                    .with("key", name)
-                    .with("stamp", stamp)
-                    .info();
+                Event::new("value_adopted").with("key", name).with("stamp", stamp).info();
             }
         }
         Offer::Invalid(why) => alarms.raise(refused, why),
--- a/crates/host/src/publish/watcher.rs
+++ b/crates/host/src/publish/watcher.rs
@@ -111,10 +111,7 @@
     {
         seen.tag.clone_from(tag);
         let below = version - 1;
-        watched = node
-            .platform
-            .watch(name_of(key), below, Duration::ZERO)
-            .await;
+        watched = node.platform.watch(name_of(key), below, Duration::ZERO).await;
     }
     match watched {
         Ok(Watched::Value(value)) => {
@@ -123,8 +120,7 @@
         }
         Ok(Watched::Unchanged { version, .. }) => seen.version = version,
         Err(e) => {
-            node.alarms
-                .raise(Alarm::PlatformUnreachable, &e.to_string());
+            node.alarms.raise(Alarm::PlatformUnreachable, &e.to_string());
             return false;
         }
     }
@@ -140,10 +136,7 @@
         PublishedKey::Layout => (Alarm::LayoutBehind, stamps.layout),
     };
     if offered < stamp.revision {
-        let reason = format!(
-            "version {} is in force, the platform has {offered}",
-            stamp.revision
-        );
+        let reason = format!("version {} is in force, the platform has {offered}", stamp.revision);
         node.alarms.raise(alarm, &reason);
     } else {
         node.alarms.clear(alarm);
@@ -154,15 +147,9 @@
 fn is_watcher<E: Edges>(node: &Node<E>, what: &str) -> bool {
     let members = lock(&node.members);
     let zone = &node.settings.zone;
-    let hosts = members
-        .working()
-        .filter(|fact| fact.zone == *zone)
-        .map(|fact| &fact.host);
+    let hosts = members.working().filter(|fact| fact.zone == *zone).map(|fact| &fact.host);
     let ranked = ranking(what, hosts);
-    ranked
-        .iter()
-        .take(WATCHERS_PER_ZONE)
-        .any(|host| **host == node.settings.host)
+    ranked.iter().take(WATCHERS_PER_ZONE).any(|host| **host == node.settings.host)
 }
 
 /// Asks the platform and some peers until both values are known, before the host reports ready.
@@ -183,13 +170,10 @@
     let keys = [PublishedKey::Sheet, PublishedKey::Layout];
     let platform =
         keys.map(|key| async move { watch(node, key, &mut Seen::default(), Duration::ZERO).await });
-    let peers = node
-        .peers_to_ask(MAX_ASKED)
-        .into_iter()
-        .map(|address| async move {
-            probe_directly(node, address, true).await;
-            join_all(keys.map(|key| fetch_from_peer(node, address, key))).await;
-        });
+    let peers = node.peers_to_ask(MAX_ASKED).into_iter().map(|address| async move {
+        probe_directly(node, address, true).await;
+        join_all(keys.map(|key| fetch_from_peer(node, address, key))).await;
+    });
     tokio::join!(join_all(platform), join_all(peers));
 }
 
@@ -202,9 +186,7 @@
     };
     let published = node
         .links
-        .call(address, PEER_TIMEOUT, |peer, cx| async move {
-            peer.published(cx, key, than).await
-        })
+        .call(address, PEER_TIMEOUT, |peer, cx| async move { peer.published(cx, key, than).await })
         .await;
     if let Ok(Some(published)) = published {
         node.offer(key, published.revision, &published.text);
--- a/crates/host/src/submit/handover.rs
+++ b/crates/host/src/submit/handover.rs
@@ -26,9 +26,7 @@
     pub(crate) async fn hand_over(self: &Arc<Self>) {
         let handovers = lock(&self.tickets).give_up(now());
         let Some(successor) = self.successor() else {
-            Event::new("rights_lost")
-                .with("rights", handovers.len())
-                .warn();
+            Event::new("rights_lost").with("rights", handovers.len()).warn();
             return;
         };
         for handover in handovers {
@@ -45,11 +43,9 @@
     async fn offer_right(&self, successor: &HostFact, handover: Handover) -> bool {
         for _ in 0..ADOPT_TRIES {
             let handover = handover.clone();
-            let call = self
-                .links
-                .call(successor.address, ADOPT_TIMEOUT, |peer, cx| async move {
-                    peer.adopt(cx, handover).await
-                });
+            let call = self.links.call(successor.address, ADOPT_TIMEOUT, |peer, cx| async move {
+                peer.adopt(cx, handover).await
+            });
             if let Ok(adopted) = call.await {
                 return adopted;
             }
--- a/crates/host/src/submit/mod.rs
+++ b/crates/host/src/submit/mod.rs
@@ -2,6 +2,8 @@
 
 mod copies;
 mod handover;
+mod outcome;
 mod run;
 
 pub use copies::OutcomeCopies;
+pub use outcome::SubmitOutcome;
--- a/crates/host/src/submit/run.rs
+++ b/crates/host/src/submit/run.rs
@@ -11,10 +11,8 @@
 use galenaloft_policy::attempt::Operation;
 use galenaloft_policy::catalogue::key_hash;
 use galenaloft_policy::membership::HostFact;
-use galenaloft_policy::routing::ranking;
 use galenaloft_policy::ticket::Begin;
 use galenaloft_policy::ticket::StoredOutcome;
-use galenaloft_policy::ticket::Ticket;
 use galenaloft_policy::verdict::Verdict;
 use galenaloft_telemetry::log::Event;
 
@@ -22,97 +20,14 @@
 use crate::clock::sleep_until;
 use crate::edges::Edges;
 use crate::gather::Query;
+use crate::gather::ShardTask;
 use crate::node::Node;
+use crate::submit::SubmitOutcome;
 use crate::sync::lock;
 
 /// How much longer than the caller's deadline a forwarded submission's reply is awaited.
 const FORWARD_GRACE: Duration = Duration::from_millis(50);
 
-/// Longest wait for a peer that keeps or looks up the copy of an outcome.
-const COPY_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// Peers that keep a copy of each outcome.
-const COPIES: usize = 2;
-
-/// What a submission came to, for its caller.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SubmitOutcome {
-    /// Whether the ticket's request ran.
-    pub verdict: Verdict,
-    /// HTTP status that tells of the outcome.
-    pub status: u16,
-    /// The receipt; empty unless it ran.
-    pub receipt: String,
-    /// Whether an earlier request of the ticket ran it.
-    pub replayed: bool,
-    /// Why there is no receipt; empty when it ran.
-    pub error: String,
-}
-
-impl SubmitOutcome {
-    fn failed(verdict: Verdict, status: u16, error: &str) -> Self {
-        let (receipt, error) = (String::new(), error.to_owned());
-        Self {
-            verdict,
-            status,
-            receipt,
-            replayed: false,
-            error,
-        }
-    }
-
-    fn ended(outcome: StoredOutcome, replayed: bool) -> Self {
-        let status = match outcome.verdict {
-            Verdict::Ran => 200,
-            Verdict::NotRun => 503,
-            Verdict::MayHaveRun => 504,
-        };
-        let StoredOutcome {
-            verdict,
-            receipt,
-            reason: error,
-            ..
-        } = outcome;
-        Self {
-            verdict,
-            status,
-            receipt,
-            replayed,
-            error,
-        }
-    }
-
-    fn of_reply(reply: SubmissionReply) -> Self {
-        match reply {
-            SubmissionReply::Ended { outcome, replayed } => Self::ended(outcome, replayed),
-            SubmissionReply::StillRunning => Self::failed(
-                Verdict::MayHaveRun,
-                504,
-                "it is still running; repeat the ticket",
-            ),
-            SubmissionReply::OtherRequest => Self::failed(
-                Verdict::NotRun,
-                409,
-                "the ticket was used for another request",
-            ),
-            SubmissionReply::Expired => {
-                Self::failed(Verdict::MayHaveRun, 410, "the ticket is past its life")
-            }
-            SubmissionReply::Forged => {
-                Self::failed(Verdict::NotRun, 400, "no such ticket was issued")
-            }
-            SubmissionReply::NotHolder => Self::failed(
-                Verdict::MayHaveRun,
-                504,
-                "the host that holds the ticket is lost; it will not run again",
-            ),
-            SubmissionReply::Full => {
-                Self::failed(Verdict::MayHaveRun, 503, "too many tickets are remembered")
-            }
-        }
-    }
-}
-
 impl<E: Edges> Node<E> {
     /// Runs a caller's submission, here or at the holder of its ticket.
     pub async fn submit(self: &Arc<Self>, submission: Submission) -> SubmitOutcome {
@@ -144,11 +59,9 @@
 
     async fn forward(&self, holder: &HostFact, submission: Submission) -> SubmissionReply {
         let limit = submission.time_left + FORWARD_GRACE;
-        let call = self
-            .links
-            .call(holder.address, limit, |peer, cx| async move {
-                peer.submit(cx, submission).await
-            });
+        let call = self.links.call(holder.address, limit, |peer, cx| async move {
+            peer.submit(cx, submission).await
+        });
         match call.await {
             Ok(reply) => reply,
             // Whether or not this call arrived, an earlier one with the same ticket may have.
@@ -244,78 +157,21 @@
             Err(e) => return ended(Verdict::NotRun, String::new(), e.to_string()),
         };
         plan.body.clone_from(&submission.body);
-        let target = plan
-            .layout
-            .collections
-            .get(&plan.kind.collection)
-            .and_then(|collection| {
-                let id = self.snapshot_for(&plan, collection)?;
-                Some((
-                    id,
-                    collection.snapshots[&id].shard_of(key_hash(&submission.key))?,
-                ))
-            });
+        let target = plan.layout.collections.get(&plan.kind.collection).and_then(|collection| {
+            let id = self.snapshot_for(&plan, collection)?;
+            Some((id, collection.snapshots[&id].shard_of(key_hash(&submission.key))?))
+        });
         let Some((snapshot, shard)) = target else {
             let reason = FailureReason::NoReplica.to_string();
             return ended(Verdict::NotRun, String::new(), reason);
         };
-        let outcome = match self.run_shard(&plan, snapshot, shard).await {
+        let outcome = match ShardTask::new(self, &plan, snapshot, shard).run().await {
             Ok(result) => ended(Verdict::Ran, result.receipt, String::new()),
             Err(failure) => ended(failure.verdict, String::new(), failure.reason.to_string()),
         };
         self.explain.keep(&plan.request_id, plan.trace);
         outcome
     }
-
-    async fn copy_outcome(&self, ticket: &Ticket, outcome: &StoredOutcome) {
-        self.copies.keep(ticket, outcome.clone());
-        for holder in self.copy_holders(ticket) {
-            let (ticket, outcome) = (ticket.clone(), outcome.clone());
-            let call = self
-                .links
-                .call(holder.address, COPY_TIMEOUT, |peer, cx| async move {
-                    peer.store_outcome(cx, ticket, outcome).await
-                });
-            // A copy that is not kept only makes a later verdict less certain.
-            let _ = call.await;
-        }
-    }
-
-    async fn find_copy(&self, ticket: &Ticket) -> Option<StoredOutcome> {
-        if let Some(outcome) = self.copies.get(ticket) {
-            return Some(outcome);
-        }
-        for holder in self.copy_holders(ticket) {
-            let ticket = ticket.clone();
-            let call = self
-                .links
-                .call(holder.address, COPY_TIMEOUT, |peer, cx| async move {
-                    peer.find_outcome(cx, ticket).await
-                });
-            if let Ok(Some(outcome)) = call.await {
-                return Some(outcome);
-            }
-        }
-        None
-    }
-
-    /// Returns the peers that keep copies of a ticket's outcome. The issuer is left out: its copy
-    /// would be lost with it.
-    fn copy_holders(&self, ticket: &Ticket) -> Vec<HostFact> {
-        let members = lock(&self.members);
-        let hosts = members
-            .working()
-            .map(|fact| &fact.host)
-            .filter(|host| **host != ticket.host);
-        let ranked = ranking(&ticket.to_string(), hosts);
-        let others = ranked
-            .into_iter()
-            .take(COPIES)
-            .filter(|host| **host != self.settings.host);
-        others
-            .filter_map(|host| members.get(host).cloned())
-            .collect()
-    }
 }
 
 /// Returns the hash that tells one request from another under the same ticket.
--- a/crates/host/tests/fuzz.rs
+++ b/crates/host/tests/fuzz.rs
@@ -26,9 +26,7 @@
 
 fn steps_of(seed: u64) -> Vec<Step> {
     let mut g = Gen::from_size_and_seed(STEPS_PER_SEED, seed);
-    (0..STEPS_PER_SEED)
-        .map(|_| Step::arbitrary(&mut g))
-        .collect()
+    (0..STEPS_PER_SEED).map(|_| Step::arbitrary(&mut g)).collect()
 }
 
 /// Removes steps one by one for as long as something still does not hold.
@@ -70,9 +68,7 @@
                 })
             })
             .collect();
-        let found = workers
-            .into_iter()
-            .filter_map(|worker| worker.join().expect("no panic"));
+        let found = workers.into_iter().filter_map(|worker| worker.join().expect("no panic"));
         found.min_by_key(|(seed, _)| *seed)
     });
     if let Some((seed, steps)) = broken {
--- a/crates/host/tests/world/catalogue.rs
+++ b/crates/host/tests/world/catalogue.rs
@@ -25,9 +25,7 @@
 
 impl Default for Catalogue {
     fn default() -> Self {
-        let mut catalogue = Self {
-            snapshots: BTreeMap::new(),
-        };
+        let mut catalogue = Self { snapshots: BTreeMap::new() };
         catalogue.advance(false);
         catalogue
     }
@@ -45,11 +43,7 @@
     }
 
     pub fn is_current(&self, id: u32) -> bool {
-        self.snapshots
-            .keys()
-            .rev()
-            .take(2)
-            .any(|current| *current == id)
+        self.snapshots.keys().rev().take(2).any(|current| *current == id)
     }
 
     pub fn layout(&self) -> wire::Layout {
@@ -63,9 +57,7 @@
         let snapshots = self.snapshots.iter().rev().take(2);
         let search = wire::Collection {
             name: "entries".to_owned(),
-            snapshots: snapshots
-                .map(|(id, snapshot)| snapshot.publish(*id))
-                .collect(),
+            snapshots: snapshots.map(|(id, snapshot)| snapshot.publish(*id)).collect(),
         };
         let whole = wire::Shard {
             id: 0,
@@ -77,23 +69,15 @@
         };
         let submit = wire::Collection {
             name: "fees".to_owned(),
-            snapshots: vec![wire::Snapshot {
-                id: 1,
-                shards: vec![whole],
-            }],
+            snapshots: vec![wire::Snapshot { id: 1, shards: vec![whole] }],
         };
-        wire::Layout {
-            searchers: searchers.collect(),
-            collections: vec![search, submit],
-        }
+        wire::Layout { searchers: searchers.collect(), collections: vec![search, submit] }
     }
 }
 
 impl Snapshot {
     pub fn shard_documents(&self, shard: u32) -> impl Iterator<Item = &String> {
-        self.documents
-            .iter()
-            .filter(move |key| shard_of(key, self.shards) == shard)
+        self.documents.iter().filter(move |key| shard_of(key, self.shards) == shard)
     }
 
     pub fn replicas(&self, shard: u32) -> [usize; 2] {
@@ -109,17 +93,11 @@
                 first_hash: first(shard) as u32,
                 last_hash: (first(shard + 1) - 1) as u32,
                 documents,
-                firms: vec![wire::FirmDocuments {
-                    firm: "north".to_owned(),
-                    documents,
-                }],
+                firms: vec![wire::FirmDocuments { firm: "north".to_owned(), documents }],
                 replicas: self.replicas(shard).map(searcher_name).to_vec(),
             }
         });
-        wire::Snapshot {
-            id,
-            shards: shards.collect(),
-        }
+        wire::Snapshot { id, shards: shards.collect() }
     }
 }
 
--- a/crates/host/tests/world/mod.rs
+++ b/crates/host/tests/world/mod.rs
@@ -1,7 +1,9 @@
 //! A small world around real hosts: links, searchers and a platform with faults, under a paused
 //! clock, so that a seed replays exactly.
 
+pub mod calls;
 pub mod catalogue;
+pub mod checks;
 pub mod links;
 pub mod oracle;
 pub mod platform;
@@ -117,14 +119,9 @@
         if self.dead.contains(&process) {
             return Link::Dead;
         }
-        let frozen = [from, to]
-            .iter()
-            .any(|p| matches!(p, Place::Host(i) if self.frozen.contains(i)));
-        if frozen || !self.is_connected(from, to) {
-            Link::Held
-        } else {
-            Link::Open
-        }
+        let frozen =
+            [from, to].iter().any(|p| matches!(p, Place::Host(i) if self.frozen.contains(i)));
+        if frozen || !self.is_connected(from, to) { Link::Held } else { Link::Open }
     }
 
     pub fn is_connected(&self, from: Place, to: Place) -> bool {
--- a/crates/host/tests/world/oracle.rs
+++ b/crates/host/tests/world/oracle.rs
@@ -38,9 +38,7 @@
     }
 
     pub fn note_late_work(&mut self, searcher: usize, since: Duration) {
-        self.broken.push(format!(
-            "searcher {searcher} got new work {since:?} after it left"
-        ));
+        self.broken.push(format!("searcher {searcher} got new work {since:?} after it left"));
     }
 
     pub fn note_receipt(&mut self, body: &str, status: u16, reply: &[u8]) {
@@ -50,9 +48,7 @@
                 Ok(failure) if failure.verdict() == Verdict::NotRun => Told::NotRun(failure.error),
                 Ok(failure) if failure.verdict() == Verdict::MayHaveRun => Told::MayHaveRun,
                 other => {
-                    return self
-                        .broken
-                        .push(format!("{body}: status {status}, {other:?}"));
+                    return self.broken.push(format!("{body}: status {status}, {other:?}"));
                 }
             },
         };
@@ -69,32 +65,26 @@
         let failure = serde_json::from_slice::<Failure>(reply);
         let known = failure.is_ok_and(|f| f.verdict() != Verdict::Unspecified);
         if !known || !(400..600).contains(&status) {
-            self.broken
-                .push(format!("{text}: status {status} without a verdict"));
+            self.broken.push(format!("{text}: status {status} without a verdict"));
         }
     }
 
     pub fn note_stamp(&mut self, process: u64, stamp: (u32, String)) {
         let last = self.stamps.entry(process).or_default();
         if stamp < *last {
-            self.broken.push(format!(
-                "process {process:x} went from sheet {last:?} to {stamp:?}"
-            ));
+            self.broken.push(format!("process {process:x} went from sheet {last:?} to {stamp:?}"));
         }
         *last = stamp;
     }
 
     pub fn note_cut(&mut self, host: usize, cut: u32) {
         if cut > 0 {
-            self.broken.push(format!(
-                "the planned stop of host {host} cut {cut} requests"
-            ));
+            self.broken.push(format!("the planned stop of host {host} cut {cut} requests"));
         }
     }
 
     pub fn note_late(&mut self, text: &str, waited: Duration) {
-        self.broken
-            .push(format!("{text}: answered after {waited:?}"));
+        self.broken.push(format!("{text}: answered after {waited:?}"));
     }
 
     pub fn note_broken(&mut self, why: String) {
@@ -117,9 +107,7 @@
             }
             let not_run = told.iter().find(|told| matches!(told, Told::NotRun(_)));
             if let (Some(told), true) = (not_run, runs > 0) {
-                broken.push(format!(
-                    "{body}: ran {runs} times but a caller was told {told:?}"
-                ));
+                broken.push(format!("{body}: ran {runs} times but a caller was told {told:?}"));
             }
         }
         broken
@@ -139,10 +127,7 @@
     fetch: bool,
     answer: &Answer,
 ) -> Result<(), &'static str> {
-    let snapshot = catalogue
-        .snapshots
-        .get(&answer.snapshot)
-        .ok_or("no such snapshot")?;
+    let snapshot = catalogue.snapshots.get(&answer.snapshot).ok_or("no such snapshot")?;
     let coverage = answer.coverage.as_ref().ok_or("no coverage")?;
     let missing: BTreeSet<u32> = coverage.missing.iter().map(|m| m.shard).collect();
     let lacking: u32 = coverage.missing.iter().map(|m| m.documents).sum();
@@ -155,9 +140,7 @@
     }
     let keys: Vec<&String> = answer.entries.iter().map(|entry| &entry.key).collect();
     let in_scope: Vec<&String> = match fetch {
-        true => snapshot
-            .shard_documents(shard_of(text, snapshot.shards))
-            .collect(),
+        true => snapshot.shard_documents(shard_of(text, snapshot.shards)).collect(),
         false => snapshot.documents.iter().collect(),
     };
     if coverage.total != in_scope.len() as u32 {
@@ -168,18 +151,10 @@
         return Err("the coverage is not that of the shards that are not missing");
     }
     let wanted = |key: &&&String| !fetch || ***key == *text;
-    let mut expected: Vec<&String> = in_scope
-        .iter()
-        .filter(covered)
-        .filter(wanted)
-        .copied()
-        .collect();
+    let mut expected: Vec<&String> =
+        in_scope.iter().filter(covered).filter(wanted).copied().collect();
     let mut got = keys;
     expected.sort();
     got.sort();
-    if expected == got {
-        Ok(())
-    } else {
-        Err("not the entries of the covered shards")
-    }
+    if expected == got { Ok(()) } else { Err("not the entries of the covered shards") }
 }
--- a/crates/host/tests/world/platform.rs
+++ b/crates/host/tests/world/platform.rs
@@ -51,11 +51,7 @@
     }
 
     pub fn put(&mut self, key: &str, version: u32, value: String) {
-        let value = ConfigValue {
-            key: key.to_owned(),
-            version,
-            value,
-        };
+        let value = ConfigValue { key: key.to_owned(), version, value };
         self.values.insert(key.to_owned(), value);
     }
 
@@ -107,9 +103,7 @@
                 values.get(key).cloned()
             };
             let version = value.as_ref().map_or(0, |value| value.version);
-            let tag = value
-                .as_ref()
-                .map_or(String::new(), |v| format!("{version}.{}", v.value));
+            let tag = value.as_ref().map_or(String::new(), |v| format!("{version}.{}", v.value));
             match value {
                 Some(value) if version > after => return Ok(Watched::Value(value)),
                 _ if Instant::now() >= end => return Ok(Watched::Unchanged { version, tag }),
--- a/crates/host/tests/world/searchers.rs
+++ b/crates/host/tests/world/searchers.rs
@@ -118,13 +118,7 @@
             return Err(HttpError::Connect("no route".to_owned()));
         }
         let (world, process, host) = (self.world.clone(), self.process, self.host);
-        Ok(FakeConn {
-            world,
-            process,
-            host,
-            searcher,
-            connected: Instant::now(),
-        })
+        Ok(FakeConn { world, process, host, searcher, connected: Instant::now() })
     }
 }
 
@@ -169,9 +163,7 @@
     async fn cancel(&mut self, attempt: AttemptId) -> Result<(), HttpError> {
         let (host, place) = self.places();
         self.world.carry(self.process, host, place).await;
-        self.world.lock().searchers[self.searcher]
-            .cancels
-            .insert(attempt);
+        self.world.lock().searchers[self.searcher].cancels.insert(attempt);
         Ok(())
     }
 
@@ -236,15 +228,13 @@
             let documents: Vec<&String> = snapshot.shard_documents(req.shard).collect();
             reply.documents = documents.len() as u32;
             let wanted = |key: &&&String| req.operation == Operation::Search || ***key == req.text;
-            reply
-                .entries
-                .extend(documents.iter().filter(wanted).map(|key| wire::Entry {
-                    key: (*key).clone(),
-                    firm: "north".to_owned(),
-                    // The title tells which request and snapshot the entry answers.
-                    title: format!("{}@{}", req.text, req.snapshot),
-                    score: 1,
-                }));
+            reply.entries.extend(documents.iter().filter(wanted).map(|key| wire::Entry {
+                key: (*key).clone(),
+                firm: "north".to_owned(),
+                // The title tells which request and snapshot the entry answers.
+                title: format!("{}@{}", req.text, req.snapshot),
+                score: 1,
+            }));
             reply.total_hits = reply.entries.len() as u32;
         }
     }
@@ -252,15 +242,9 @@
         // The reply to somebody else's request.
         reply.attempt ^= 1;
         reply.receipt = "crossed".to_owned();
-        reply
-            .entries
-            .iter_mut()
-            .for_each(|entry| entry.title = "crossed".to_owned());
+        reply.entries.iter_mut().for_each(|entry| entry.title = "crossed".to_owned());
     }
-    Some((
-        fault,
-        (StatusCode::OK, HeaderMap::new(), reply.encode_to_vec()),
-    ))
+    Some((fault, (StatusCode::OK, HeaderMap::new(), reply.encode_to_vec())))
 }
 
 fn refuse(world: &World, index: usize, req: &AttemptRequest) -> Option<Reply> {
@@ -269,10 +253,7 @@
     let current = inner.catalogue.is_current(req.snapshot);
     let searcher = &inner.searchers[index];
     let (fault, since) = (searcher.fault, searcher.since);
-    let refusal = wire::Refusal {
-        attempt: req.attempt,
-        ..Default::default()
-    };
+    let refusal = wire::Refusal { attempt: req.attempt, ..Default::default() };
     let held = match fault {
         Fault::NoNewSnapshot => vec![newest.saturating_sub(1).max(1)],
         _ => vec![newest.saturating_sub(1).max(1), newest],
@@ -284,22 +265,10 @@
             if since.elapsed() > LEAVE_LIMIT {
                 inner.oracle.note_late_work(index, since.elapsed());
             }
-            (
-                StatusCode::SERVICE_UNAVAILABLE,
-                wire::Refusal {
-                    draining: true,
-                    ..refusal
-                },
-            )
+            (StatusCode::SERVICE_UNAVAILABLE, wire::Refusal { draining: true, ..refusal })
         }
         Fault::Shedding => (StatusCode::TOO_MANY_REQUESTS, refusal),
-        _ if lacks => (
-            StatusCode::CONFLICT,
-            wire::Refusal {
-                held_snapshots: held,
-                ..refusal
-            },
-        ),
+        _ if lacks => (StatusCode::CONFLICT, wire::Refusal { held_snapshots: held, ..refusal }),
         _ => return None,
     };
     Some((status, HeaderMap::new(), refusal.encode_to_vec()))
--- a/crates/host/tests/world/steps.rs
+++ b/crates/host/tests/world/steps.rs
@@ -81,16 +81,9 @@
         let flag = bool::arbitrary(g);
         match u8::arbitrary(g) % 64 {
             0..=11 => Self::Search { host },
-            12..=15 => Self::Fetch {
-                host,
-                document: number,
-            },
+            12..=15 => Self::Fetch { host, document: number },
             16..=20 => Self::TakeTicket { host },
-            21..=31 => Self::Submit {
-                host,
-                ticket: number % 6,
-                other_body: number > 240,
-            },
+            21..=31 => Self::Submit { host, ticket: number % 6, other_body: number > 240 },
             32 | 33 => Self::Kill { host },
             34..=37 => Self::Restart { host },
             38 => Self::Freeze { host },
@@ -99,27 +92,14 @@
             42 => Self::Split,
             43 => Self::Isolate { host },
             44 | 45 => Self::Heal,
-            46..=49 => Self::SearcherFault {
-                searcher,
-                fault: fault(g),
-            },
-            50 | 51 => Self::SearcherFault {
-                searcher,
-                fault: Fault::None,
-            },
-            52 => Self::PlatformFault {
-                fault: platform_fault(g),
-            },
-            53 | 54 => Self::Publish {
-                worth: number,
-                valid: flag || number > 30,
-            },
+            46..=49 => Self::SearcherFault { searcher, fault: fault(g) },
+            50 | 51 => Self::SearcherFault { searcher, fault: Fault::None },
+            52 => Self::PlatformFault { fault: platform_fault(g) },
+            53 | 54 => Self::Publish { worth: number, valid: flag || number > 30 },
             55 => Self::Race { worth: number },
             56 if flag => Self::Restore { worth: number },
             56 | 57 => Self::NewSnapshot { repartition: flag },
-            _ => Self::Wait {
-                ms: u16::arbitrary(g) % if flag { 20 } else { 2_000 },
-            },
+            _ => Self::Wait { ms: u16::arbitrary(g) % if flag { 20 } else { 2_000 } },
         }
     }
 }
@@ -139,10 +119,6 @@
 }
 
 fn platform_fault(g: &mut Gen) -> PlatformFault {
-    let faults = [
-        PlatformFault::None,
-        PlatformFault::Down,
-        PlatformFault::Stale,
-    ];
+    let faults = [PlatformFault::None, PlatformFault::Down, PlatformFault::Stale];
     *g.choose(&faults).expect("not empty")
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -37,9 +37,7 @@
             .await
             .map_err(|_| HttpError::Connect(format!("{peer} did not answer")))?
             .map_err(|e| HttpError::Connect(format!("{peer}: {e}")))?;
-        stream
-            .set_nodelay(true)
-            .map_err(|e| HttpError::Connect(format!("{peer}: {e}")))?;
+        stream.set_nodelay(true).map_err(|e| HttpError::Connect(format!("{peer}: {e}")))?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|e| HttpError::Connect(format!("{peer}: {e}")))?;
@@ -72,15 +70,12 @@
 
     /// Reads a path unless its entity tag is still `tag`; an empty tag always reads.
     pub async fn get(&mut self, path: &str, tag: &str) -> Result<Response<Bytes>, HttpError> {
-        let mut req = Request::builder()
-            .uri(path)
-            .header(HOST, self.peer.to_string());
+        let mut req = Request::builder().uri(path).header(HOST, self.peer.to_string());
         if !tag.is_empty() {
             req = req.header(IF_NONE_MATCH, tag);
         }
         let req = req.body(Full::new(Bytes::new()));
-        self.send_request(req.map_err(|e| HttpError::NotSent(e.to_string()))?)
-            .await
+        self.send_request(req.map_err(|e| HttpError::NotSent(e.to_string()))?).await
     }
 
     /// Sends a prepared request and reads the whole reply.
@@ -88,18 +83,11 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, HttpError> {
-        self.sender
-            .ready()
-            .await
-            .map_err(|e| HttpError::NotSent(e.to_string()))?;
+        self.sender.ready().await.map_err(|e| HttpError::NotSent(e.to_string()))?;
         let reply = self.sender.try_send_request(req).await.map_err(|mut e| {
             let unsent = e.take_message().is_some();
             let why = e.into_error().to_string();
-            if unsent {
-                HttpError::NotSent(why)
-            } else {
-                HttpError::Lost(why)
-            }
+            if unsent { HttpError::NotSent(why) } else { HttpError::Lost(why) }
         })?;
         let (head, body) = reply.into_parts();
         let body = Limited::new(body, MAX_REPLY).collect().await.map_err(|e| {
--- a/crates/http/src/respond.rs
+++ b/crates/http/src/respond.rs
@@ -23,8 +23,6 @@
 fn reply(status: StatusCode, kind: &'static str, body: Vec<u8>) -> Reply {
     let mut reply = Response::new(Full::new(Bytes::from(body)));
     *reply.status_mut() = status;
-    reply
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
     reply
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -59,11 +59,7 @@
 impl Server {
     /// Creates a server; `refuse` builds the reply to a request whose body is refused.
     pub fn new(listener: TcpListener, limits: Limits, refuse: RefuseBody) -> Self {
-        Self {
-            listener,
-            limits,
-            refuse,
-        }
+        Self { listener, limits, refuse }
     }
 
     /// Creates a server that refuses in plain text.
@@ -157,12 +153,7 @@
     read_timeout: Duration,
 ) -> Result<Request<Bytes>, (StatusCode, String)> {
     let (head, body) = req.into_parts();
-    let too_large = || {
-        (
-            StatusCode::PAYLOAD_TOO_LARGE,
-            format!("the body exceeds {limit} bytes"),
-        )
-    };
+    let too_large = || (StatusCode::PAYLOAD_TOO_LARGE, format!("the body exceeds {limit} bytes"));
     if body.size_hint().lower() > limit as u64 {
         return Err(too_large());
     }
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -48,9 +48,7 @@
 impl OperatorClient {
     /// Connects to an entry host.
     pub async fn connect(host: SocketAddr) -> Result<Self, OperatorError> {
-        Ok(Self {
-            connection: Connection::connect(host, CONNECT_TIMEOUT).await?,
-        })
+        Ok(Self { connection: Connection::connect(host, CONNECT_TIMEOUT).await? })
     }
 
     /// Reads the state of the host.
@@ -60,11 +58,7 @@
 
     /// Reads the decisions of a recent request.
     pub async fn explain(&mut self, request_id: &str) -> Result<Explanation, OperatorError> {
-        decode(
-            &self
-                .call(Method::GET, &format!("{EXPLAIN_PATH}{request_id}"))
-                .await?,
-        )
+        decode(&self.call(Method::GET, &format!("{EXPLAIN_PATH}{request_id}")).await?)
     }
 
     /// Starts a planned stop.
@@ -73,10 +67,7 @@
     }
 
     async fn call(&mut self, method: Method, path: &str) -> Result<Bytes, OperatorError> {
-        let reply = self
-            .connection
-            .send(method, path, "application/json", Bytes::new())
-            .await?;
+        let reply = self.connection.send(method, path, "application/json", Bytes::new()).await?;
         if !reply.status().is_success() {
             let why = String::from_utf8_lossy(reply.body()).into_owned();
             return Err(OperatorError::Refused(reply.status().as_u16(), why));
--- a/crates/peer/src/connector.rs
+++ b/crates/peer/src/connector.rs
@@ -28,9 +28,7 @@
 impl Connector for TcpConnector {
     async fn connect(&self, address: SocketAddr) -> io::Result<PeerClient> {
         let connecting = TcpStream::connect(address);
-        let stream = timeout(CONNECT_TIMEOUT, connecting)
-            .await
-            .map_err(io::Error::other)??;
+        let stream = timeout(CONNECT_TIMEOUT, connecting).await.map_err(io::Error::other)??;
         stream.set_nodelay(true)?;
         let transport = serde_transport::Transport::from((stream, Bincode::default()));
         Ok(PeerClient::new(Config::default(), transport).spawn())
--- a/crates/peer/src/links.rs
+++ b/crates/peer/src/links.rs
@@ -48,10 +48,7 @@
 impl<C: Connector> PeerLinks<C> {
     /// Creates links without any connection.
     pub fn new(connector: C) -> Self {
-        Self {
-            connector,
-            clients: Mutex::new(BTreeMap::new()),
-        }
+        Self { connector, clients: Mutex::new(BTreeMap::new()) }
     }
 
     /// Makes one call to a peer within a time limit.
@@ -72,14 +69,10 @@
             let result = call(client.clone(), far_context()).await;
             result.map_err(|_| {
                 self.forget(address, &client);
-                PeerError {
-                    verdict: Verdict::MayHaveRun,
-                }
+                PeerError { verdict: Verdict::MayHaveRun }
             })
         };
-        let lost = |_| PeerError {
-            verdict: Verdict::MayHaveRun,
-        };
+        let lost = |_| PeerError { verdict: Verdict::MayHaveRun };
         timeout(limit, exchange).await.map_err(lost)?
     }
 
@@ -99,9 +92,7 @@
             return Ok(link.client.clone());
         }
         let connected = self.connector.connect(address).await;
-        let client = connected.map_err(|_| PeerError {
-            verdict: Verdict::NotRun,
-        })?;
+        let client = connected.map_err(|_| PeerError { verdict: Verdict::NotRun })?;
         let client = Arc::new(client);
         let link = Link { client, used: now };
         Ok(self.lock().entry(address).or_insert(link).client.clone())
@@ -109,10 +100,7 @@
 
     fn forget(&self, address: SocketAddr, broken: &Arc<PeerClient>) {
         let mut clients = self.lock();
-        if clients
-            .get(&address)
-            .is_some_and(|link| Arc::ptr_eq(&link.client, broken))
-        {
+        if clients.get(&address).is_some_and(|link| Arc::ptr_eq(&link.client, broken)) {
             clients.remove(&address);
         }
     }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -81,9 +81,7 @@
 impl PlatformClient {
     /// Connects to the platform.
     pub async fn connect(address: SocketAddr) -> Result<Self, PlatformError> {
-        Ok(Self {
-            connection: Connection::connect(address, CONNECT_TIMEOUT).await?,
-        })
+        Ok(Self { connection: Connection::connect(address, CONNECT_TIMEOUT).await? })
     }
 
     /// Waits up to `wait` for a value of `key` above version `after`.
@@ -93,10 +91,7 @@
         after: Revision,
         wait: Duration,
     ) -> Result<Watched, PlatformError> {
-        let path = format!(
-            "{CONFIG_PATH}{key}?after={after}&wait_ms={}",
-            wait.as_millis()
-        );
+        let path = format!("{CONFIG_PATH}{key}?after={after}&wait_ms={}", wait.as_millis());
         let reply = self.get(&path, "", wait).await?;
         match reply.status() {
             StatusCode::OK => decode(reply.body()).map(Watched::Value),
@@ -105,10 +100,7 @@
                 let version = version_of(&tag);
                 Ok(Watched::Unchanged { version, tag })
             }
-            StatusCode::NOT_FOUND => Ok(Watched::Unchanged {
-                version: 0,
-                tag: String::new(),
-            }),
+            StatusCode::NOT_FOUND => Ok(Watched::Unchanged { version: 0, tag: String::new() }),
             other => Err(PlatformError::Status(other)),
         }
     }
--- a/crates/platform/src/layout.rs
+++ b/crates/platform/src/layout.rs
@@ -29,38 +29,21 @@
             return Err(format!("collection `{name}` is listed twice"));
         }
     }
-    Ok(Layout {
-        searchers,
-        collections,
-    })
+    Ok(Layout { searchers, collections })
 }
 
 fn read_searcher(searcher: wire::Searcher) -> Result<SearcherSpec, String> {
-    let wire::Searcher {
-        id,
-        zone,
-        address,
-        slots,
-        connections,
-    } = searcher;
+    let wire::Searcher { id, zone, address, slots, connections } = searcher;
     if id.is_empty() || zone.is_empty() {
         return Err(format!("searcher `{id}` in zone `{zone}` lacks a name"));
     }
     if slots == 0 || connections < slots {
-        return Err(format!(
-            "searcher `{id}` has {slots} slots on {connections} connections"
-        ));
+        return Err(format!("searcher `{id}` has {slots} slots on {connections} connections"));
     }
     let address = address
         .parse()
         .map_err(|_| format!("searcher `{id}` has `{address}` for an IP address and port"))?;
-    Ok(SearcherSpec {
-        id: id.into(),
-        zone: zone.into(),
-        address,
-        slots,
-        connections,
-    })
+    Ok(SearcherSpec { id: id.into(), zone: zone.into(), address, slots, connections })
 }
 
 fn read_collection(
@@ -95,10 +78,7 @@
     if let Some(twice) = ids.windows(2).find(|pair| pair[0] == pair[1]) {
         return Err(format!("shard {} is listed twice", twice[0]));
     }
-    let documents = shards
-        .iter()
-        .map(|shard| u64::from(shard.documents))
-        .sum::<u64>();
+    let documents = shards.iter().map(|shard| u64::from(shard.documents)).sum::<u64>();
     if documents > u64::from(u32::MAX) {
         return Err(format!("{documents} documents are too many"));
     }
@@ -117,9 +97,7 @@
     let counted: u64 = firms.values().map(|documents| u64::from(*documents)).sum();
     if counted != u64::from(shard.documents) {
         let documents = shard.documents;
-        return Err(format!(
-            "shard {id} has {documents} documents, its firms have {counted}"
-        ));
+        return Err(format!("shard {id} has {documents} documents, its firms have {counted}"));
     }
     let mut replicas: Vec<SearcherId> = Vec::new();
     for replica in shard.replicas {
--- a/crates/platform/src/tests.rs
+++ b/crates/platform/src/tests.rs
@@ -32,27 +32,12 @@
     let cases = [
         (layout(&shard(0, 0, 7, "s-1")), "no shard holds hash 8"),
         (layout(&shard(0, 1, u32::MAX, "s-1")), "gap or overlap"),
-        (
-            layout(&[whole.clone(), shard(1, 9, 10, "s-1")].join(",")),
-            "gap or overlap",
-        ),
-        (
-            layout(&shard(0, 0, u32::MAX, "s-9")),
-            "unknown searcher `s-9`",
-        ),
-        (
-            layout(&whole.replace("\"documents\":3,", "\"documents\":4,")),
-            "its firms have 3",
-        ),
-        (
-            layout(&whole).replace("\"slots\":2", "\"slots\":0"),
-            "0 slots",
-        ),
+        (layout(&[whole.clone(), shard(1, 9, 10, "s-1")].join(",")), "gap or overlap"),
+        (layout(&shard(0, 0, u32::MAX, "s-9")), "unknown searcher `s-9`"),
+        (layout(&whole.replace("\"documents\":3,", "\"documents\":4,")), "its firms have 3"),
+        (layout(&whole).replace("\"slots\":2", "\"slots\":0"), "0 slots"),
         (layout(&whole).replace("127.0.0.1:1", "host:1"), "`host:1`"),
-        (
-            layout(&whole).replace("slots", "slotz"),
-            "unknown field `slotz`",
-        ),
+        (layout(&whole).replace("slots", "slotz"), "unknown field `slotz`"),
         ("{".to_owned(), "EOF"),
     ];
     for (text, reason) in cases {
--- a/crates/policy/examples/ticket_memory.rs
+++ b/crates/policy/examples/ticket_memory.rs
@@ -14,10 +14,7 @@
 
 fn resident_kb() -> u64 {
     let text = fs::read_to_string("/proc/self/statm").expect("the system tells its memory");
-    let pages = text
-        .split_whitespace()
-        .nth(1)
-        .and_then(|pages| pages.parse::<u64>().ok());
+    let pages = text.split_whitespace().nth(1).and_then(|pages| pages.parse::<u64>().ok());
     pages.expect("the second field is a number") * PAGE_KB
 }
 
@@ -34,12 +31,7 @@
             let receipt = "billing-13-ec1b68253aa9bf83-1".to_owned();
             let reason = String::new();
             let verdict = Verdict::Ran;
-            let outcome = StoredOutcome {
-                verdict,
-                receipt,
-                reason,
-                digest: 1,
-            };
+            let outcome = StoredOutcome { verdict, receipt, reason, digest: 1 };
             table.finish(&ticket, outcome);
         }
     }
--- a/crates/policy/src/admission/controller.rs
+++ b/crates/policy/src/admission/controller.rs
@@ -69,12 +69,7 @@
     }
 
     fn lane(&mut self, rank: Rank, now: Instant) -> &mut Lane {
-        let new = || Lane {
-            share: 1.0,
-            waits: 0.0,
-            count: 0,
-            since: now,
-        };
+        let new = || Lane { share: 1.0, waits: 0.0, count: 0, since: now };
         self.lanes.entry(rank).or_insert_with(new)
     }
 }
--- a/crates/policy/src/attempt/outcome.rs
+++ b/crates/policy/src/attempt/outcome.rs
@@ -91,18 +91,12 @@
 impl AttemptFailure {
     /// A failure before the searcher could begin.
     pub fn not_run(reason: FailureReason) -> Self {
-        Self {
-            verdict: Verdict::NotRun,
-            reason,
-        }
+        Self { verdict: Verdict::NotRun, reason }
     }
 
     /// A failure after which nobody knows whether the searcher ran the attempt.
     pub fn may_have_run(reason: FailureReason) -> Self {
-        Self {
-            verdict: Verdict::MayHaveRun,
-            reason,
-        }
+        Self { verdict: Verdict::MayHaveRun, reason }
     }
 }
 
--- a/crates/policy/src/catalogue/coverage.rs
+++ b/crates/policy/src/catalogue/coverage.rs
@@ -65,10 +65,7 @@
             covered: BTreeMap::new(),
             missing: BTreeMap::new(),
             sizes: sizes.collect(),
-            coverage: Coverage {
-                covered: 0,
-                total: snapshot.documents(),
-            },
+            coverage: Coverage { covered: 0, total: snapshot.documents() },
         }
     }
 
@@ -114,11 +111,7 @@
 
     /// Returns every shard that is not wholly covered, with the reason.
     pub fn missing(&self) -> Vec<Missing> {
-        self.snapshot
-            .shards
-            .iter()
-            .filter_map(|s| self.missing_in(s))
-            .collect()
+        self.snapshot.shards.iter().filter_map(|s| self.missing_in(s)).collect()
     }
 
     fn covered_in(&self, shard: &ShardSpec) -> Documents {
@@ -137,10 +130,6 @@
             FailureReason::TimedOut
         };
         let reason = self.missing.get(&shard.id).cloned().unwrap_or(fallback);
-        Some(Missing {
-            shard: shard.id,
-            documents,
-            reason,
-        })
+        Some(Missing { shard: shard.id, documents, reason })
     }
 }
--- a/crates/policy/src/catalogue/merge.rs
+++ b/crates/policy/src/catalogue/merge.rs
@@ -55,10 +55,7 @@
     let mut firms: BTreeMap<FirmName, VecDeque<Entry>> = BTreeMap::new();
     let total = entries.len();
     for entry in entries {
-        firms
-            .entry(entry.firm.clone())
-            .or_default()
-            .push_back(entry);
+        firms.entry(entry.firm.clone()).or_default().push_back(entry);
     }
     let mut turns = Vec::with_capacity(total);
     while turns.len() < total {
--- a/crates/policy/src/catalogue/snapshot.rs
+++ b/crates/policy/src/catalogue/snapshot.rs
@@ -29,14 +29,7 @@
 }
 
 fn expected_coverage(snapshot: &SnapshotSpec, usable: impl Fn(&SearcherId) -> bool) -> f64 {
-    let reachable = snapshot
-        .shards
-        .iter()
-        .filter(|shard| shard.replicas.iter().any(&usable));
+    let reachable = snapshot.shards.iter().filter(|shard| shard.replicas.iter().any(&usable));
     let covered = reachable.map(|shard| shard.documents).sum();
-    Coverage {
-        covered,
-        total: snapshot.documents(),
-    }
-    .ratio()
+    Coverage { covered, total: snapshot.documents() }.ratio()
 }
--- a/crates/policy/src/catalogue/tests.rs
+++ b/crates/policy/src/catalogue/tests.rs
@@ -8,30 +8,20 @@
 use crate::ids::SearcherId;
 
 fn entry(key: &str, firm: &str, score: u32) -> Entry {
-    Entry {
-        key: key.to_owned(),
-        firm: firm.into(),
-        title: key.to_owned(),
-        score,
-    }
+    Entry { key: key.to_owned(), firm: firm.into(), title: key.to_owned(), score }
 }
 
 fn snapshot(documents: &[u32]) -> SnapshotSpec {
     let width = (u64::from(u32::MAX) + 1) / documents.len() as u64;
-    let shards = documents
-        .iter()
-        .enumerate()
-        .map(|(i, &documents)| ShardSpec {
-            id: i as u32,
-            first_hash: (i as u64 * width) as u32,
-            last_hash: ((i as u64 + 1) * width - 1) as u32,
-            documents,
-            firms: BTreeMap::from([("north".into(), documents)]),
-            replicas: Vec::new(),
-        });
-    SnapshotSpec {
-        shards: shards.collect(),
-    }
+    let shards = documents.iter().enumerate().map(|(i, &documents)| ShardSpec {
+        id: i as u32,
+        first_hash: (i as u64 * width) as u32,
+        last_hash: ((i as u64 + 1) * width - 1) as u32,
+        documents,
+        firms: BTreeMap::from([("north".into(), documents)]),
+        replicas: Vec::new(),
+    });
+    SnapshotSpec { shards: shards.collect() }
 }
 
 #[test]
@@ -39,11 +29,8 @@
     let mut merge = Merge::default();
     merge.add(vec![entry("a", "north", 9), entry("b", "north", 8)], 2);
     merge.add(vec![entry("a", "north", 9), entry("c", "south", 1)], 2);
-    let keys: Vec<String> = merge
-        .finish(2, Spread::FormerFirm)
-        .into_iter()
-        .map(|e| e.key)
-        .collect();
+    let keys: Vec<String> =
+        merge.finish(2, Spread::FormerFirm).into_iter().map(|e| e.key).collect();
     assert_eq!(keys, ["a", "c"]);
 }
 
@@ -54,26 +41,10 @@
     counter.cover(0, 10);
     counter.cover(0, 10);
     counter.miss(1, FailureReason::ConnectionLost);
-    assert_eq!(
-        counter.coverage(),
-        Coverage {
-            covered: 10,
-            total: 40
-        }
-    );
-    let missing = Missing {
-        shard: 1,
-        documents: 30,
-        reason: FailureReason::ConnectionLost,
-    };
+    assert_eq!(counter.coverage(), Coverage { covered: 10, total: 40 });
+    let missing = Missing { shard: 1, documents: 30, reason: FailureReason::ConnectionLost };
     assert_eq!(counter.missing(), vec![missing]);
-    assert_eq!(
-        counter.by_firm()["north"],
-        Coverage {
-            covered: 10,
-            total: 40
-        }
-    );
+    assert_eq!(counter.by_firm()["north"], Coverage { covered: 10, total: 40 });
 }
 
 #[test]
@@ -85,20 +56,15 @@
         }
         snapshot
     };
-    let snapshots = BTreeMap::from([
-        (1, with_replicas(["s-1", "s-2"])),
-        (2, with_replicas(["s-1", "s-3"])),
-    ]);
+    let snapshots =
+        BTreeMap::from([(1, with_replicas(["s-1", "s-2"])), (2, with_replicas(["s-1", "s-3"]))]);
     let collection = CollectionLayout { snapshots };
     let without = |lost: &'static str| move |id: &SearcherId, _| **id != *lost;
     assert_eq!(choose_snapshot(&collection, 0.9, |_, _| true), Some(2));
     assert_eq!(choose_snapshot(&collection, 0.9, without("s-3")), Some(1));
     assert_eq!(choose_snapshot(&collection, 0.5, without("s-3")), Some(2));
     assert_eq!(choose_snapshot(&collection, 0.9, without("s-1")), Some(2));
-    assert_eq!(
-        choose_snapshot(&CollectionLayout::default(), 0.9, |_, _| true),
-        None
-    );
+    assert_eq!(choose_snapshot(&CollectionLayout::default(), 0.9, |_, _| true), None);
 }
 
 quickcheck! {
--- a/crates/policy/src/membership/table.rs
+++ b/crates/policy/src/membership/table.rs
@@ -53,13 +53,7 @@
 impl MemberTable {
     /// Creates a table that knows only the host itself.
     pub fn new(own: HostFact) -> Self {
-        Self {
-            own,
-            own_to_send: RETRANSMITS,
-            members: BTreeMap::new(),
-            cursor: 0,
-            version: 0,
-        }
+        Self { own, own_to_send: RETRANSMITS, members: BTreeMap::new(), cursor: 0, version: 0 }
     }
 
     /// Returns the host's own fact.
@@ -89,33 +83,15 @@
         }
         let to_send = self.retransmits();
         self.version += 1;
-        self.members.insert(
-            fact.host.clone(),
-            Member {
-                fact: fact.clone(),
-                since: now,
-                to_send,
-            },
-        );
-        (old != Some(new)).then_some(Change {
-            host: fact.host,
-            old,
-            new,
-        })
+        self.members.insert(fact.host.clone(), Member { fact: fact.clone(), since: now, to_send });
+        (old != Some(new)).then_some(Change { host: fact.host, old, new })
     }
 
     /// Learns a host from the platform's list, which proves neither life nor death.
     pub fn learn_listed(&mut self, fact: HostFact, now: Instant) {
         if fact.host != self.own.host && !self.members.contains_key(&fact.host) {
             self.version += 1;
-            self.members.insert(
-                fact.host.clone(),
-                Member {
-                    fact,
-                    since: now,
-                    to_send: 0,
-                },
-            );
+            self.members.insert(fact.host.clone(), Member { fact, since: now, to_send: 0 });
         }
     }
 
@@ -125,10 +101,7 @@
         if member.fact.state != HostState::Alive {
             return None;
         }
-        let fact = HostFact {
-            state: HostState::Suspect,
-            ..member.fact.clone()
-        };
+        let fact = HostFact { state: HostState::Suspect, ..member.fact.clone() };
         self.learn(fact, now)
     }
 
@@ -139,15 +112,9 @@
             .members
             .values()
             .filter(|m| m.fact.state == HostState::Suspect && age(m) >= SUSPICION)
-            .map(|m| HostFact {
-                state: HostState::Dead,
-                ..m.fact.clone()
-            })
-            .collect();
-        let changes = overdue
-            .into_iter()
-            .filter_map(|fact| self.learn(fact, now))
+            .map(|m| HostFact { state: HostState::Dead, ..m.fact.clone() })
             .collect();
+        let changes = overdue.into_iter().filter_map(|fact| self.learn(fact, now)).collect();
         self.members.retain(|_, member| match member.fact.state {
             HostState::Alive | HostState::Suspect => true,
             HostState::Dead | HostState::Leaving => age(member) < REMEMBERED,
@@ -172,10 +139,7 @@
             return None;
         }
         self.cursor = (self.cursor + 1) % count;
-        self.members
-            .values()
-            .nth(self.cursor)
-            .map(|m| m.fact.clone())
+        self.members.values().nth(self.cursor).map(|m| m.fact.clone())
     }
 
     /// Returns up to `count` live hosts other than `target` to probe through.
@@ -191,11 +155,8 @@
     pub fn gossip(&mut self) -> Vec<HostFact> {
         self.own_to_send = self.own_to_send.saturating_sub(1);
         let mut facts = vec![self.own.clone()];
-        let mut fresh: Vec<&mut Member> = self
-            .members
-            .values_mut()
-            .filter(|m| m.to_send > 0)
-            .collect();
+        let mut fresh: Vec<&mut Member> =
+            self.members.values_mut().filter(|m| m.to_send > 0).collect();
         fresh.sort_by_key(|m| std::cmp::Reverse(m.to_send));
         for member in fresh.into_iter().take(MAX_FACTS - 1) {
             member.to_send -= 1;
--- a/crates/policy/src/membership/tests.rs
+++ b/crates/policy/src/membership/tests.rs
@@ -18,12 +18,7 @@
 }
 
 fn state(n: u8) -> HostState {
-    let states = [
-        HostState::Alive,
-        HostState::Suspect,
-        HostState::Dead,
-        HostState::Leaving,
-    ];
+    let states = [HostState::Alive, HostState::Suspect, HostState::Dead, HostState::Leaving];
     states[usize::from(n) % 4]
 }
 
@@ -42,11 +37,7 @@
     assert_eq!(one.get("h2").unwrap().state, HostState::Alive);
     one.suspect(&"h2".into(), now);
     let later = now + Duration::from_secs(2);
-    let died = Change {
-        host: "h2".into(),
-        old: Some(HostState::Suspect),
-        new: HostState::Dead,
-    };
+    let died = Change { host: "h2".into(), old: Some(HostState::Suspect), new: HostState::Dead };
     assert_eq!(one.expire(later), vec![died]);
     assert_eq!(one.working().count(), 1);
 }
--- a/crates/policy/src/queue/rank_queue.rs
+++ b/crates/policy/src/queue/rank_queue.rs
@@ -42,11 +42,7 @@
 impl<T> RankQueue<T> {
     /// Creates a queue for at most `capacity` items.
     pub fn new(capacity: usize) -> Self {
-        Self {
-            lanes: BTreeMap::new(),
-            arrivals: 0,
-            capacity,
-        }
+        Self { lanes: BTreeMap::new(), arrivals: 0, capacity }
     }
 
     /// Sets the floor of a rank, a share of all starts from 0.0 to 1.0.
@@ -91,12 +87,8 @@
     pub fn remove_where(&mut self, unwanted: impl Fn(&T) -> bool) -> Vec<T> {
         let mut removed = Vec::new();
         for lane in self.lanes.values_mut() {
-            let keys: Vec<_> = lane
-                .waiting
-                .iter()
-                .filter(|(_, item)| unwanted(item))
-                .map(|(k, _)| *k)
-                .collect();
+            let keys: Vec<_> =
+                lane.waiting.iter().filter(|(_, item)| unwanted(item)).map(|(k, _)| *k).collect();
             removed.extend(keys.iter().filter_map(|key| lane.waiting.remove(key)));
         }
         removed
@@ -122,11 +114,7 @@
 
     fn next_rank(&self) -> Option<Rank> {
         let total: f64 = self.lanes.values().map(|lane| lane.served).sum();
-        let waiting = || {
-            self.lanes
-                .iter()
-                .filter(|(_, lane)| !lane.waiting.is_empty())
-        };
+        let waiting = || self.lanes.iter().filter(|(_, lane)| !lane.waiting.is_empty());
         let deprived = waiting()
             .map(|(rank, lane)| (lane.floor * total - lane.served, *rank))
             .filter(|(deficit, _)| *deficit > 0.0)
@@ -138,11 +126,8 @@
     }
 
     fn evict_below(&mut self, rank: Rank) -> Option<T> {
-        let (worst, lane) = self
-            .lanes
-            .iter_mut()
-            .rev()
-            .find(|(_, lane)| !lane.waiting.is_empty())?;
+        let (worst, lane) =
+            self.lanes.iter_mut().rev().find(|(_, lane)| !lane.waiting.is_empty())?;
         if *worst <= rank {
             return None;
         }
--- a/crates/policy/src/queue/tests.rs
+++ b/crates/policy/src/queue/tests.rs
@@ -13,19 +13,10 @@
     let now = Instant::now();
     let mut queue = RankQueue::new(8);
     for (item, rank, ms) in [("slow", 3, 50), ("late", 1, 90), ("soon", 1, 60)] {
-        queue
-            .push(item, rank, now + Duration::from_millis(ms))
-            .unwrap();
+        queue.push(item, rank, now + Duration::from_millis(ms)).unwrap();
     }
     let order: Vec<_> = std::iter::from_fn(|| queue.pop(now, SERVICE)).collect();
-    assert_eq!(
-        order,
-        [
-            Popped::Ready("soon"),
-            Popped::Ready("late"),
-            Popped::Ready("slow")
-        ]
-    );
+    assert_eq!(order, [Popped::Ready("soon"), Popped::Ready("late"), Popped::Ready("slow")]);
 }
 
 #[test]
--- a/crates/policy/src/revision/in_force.rs
+++ b/crates/policy/src/revision/in_force.rs
@@ -38,12 +38,7 @@
 
 impl<T> Default for InForce<T> {
     fn default() -> Self {
-        Self {
-            stamp: Stamp::default(),
-            text: "".into(),
-            value: None,
-            refused: BTreeSet::new(),
-        }
+        Self { stamp: Stamp::default(), text: "".into(), value: None, refused: BTreeSet::new() }
     }
 }
 
@@ -61,11 +56,7 @@
         }
         let conflict = revision == self.stamp.revision;
         if stamp < self.stamp {
-            return if conflict {
-                Offer::Conflict { adopted: false }
-            } else {
-                Offer::Older
-            };
+            return if conflict { Offer::Conflict { adopted: false } } else { Offer::Older };
         }
         match parse(text) {
             Ok(value) => {
@@ -73,11 +64,7 @@
                 self.text = text.into();
                 self.value = Some(Arc::new(value));
                 self.refused.retain(|refused| *refused > stamp);
-                if conflict {
-                    Offer::Conflict { adopted: true }
-                } else {
-                    Offer::Adopted
-                }
+                if conflict { Offer::Conflict { adopted: true } } else { Offer::Adopted }
             }
             Err(why) => {
                 self.refused.insert(stamp);
--- a/crates/policy/src/revision/stamp.rs
+++ b/crates/policy/src/revision/stamp.rs
@@ -23,10 +23,7 @@
 impl Stamp {
     /// Stamps a published text.
     pub fn new(revision: Revision, text: &str) -> Self {
-        Self {
-            revision,
-            hash: xxh3_64(text.as_bytes()),
-        }
+        Self { revision, hash: xxh3_64(text.as_bytes()) }
     }
 }
 
--- a/crates/policy/src/revision/tests.rs
+++ b/crates/policy/src/revision/tests.rs
@@ -15,10 +15,7 @@
 fn an_invalid_value_leaves_the_old_one_in_force() {
     let mut in_force = InForce::default();
     assert_eq!(in_force.offer(4, "four", parse), Offer::Adopted);
-    assert_eq!(
-        in_force.offer(5, "!five", parse),
-        Offer::Invalid("invalid".to_owned())
-    );
+    assert_eq!(in_force.offer(5, "!five", parse), Offer::Invalid("invalid".to_owned()));
     assert_eq!(in_force.value().as_deref(), Some(&"four".to_owned()));
     assert!(!in_force.wants(Stamp::new(5, "!five")));
     assert_eq!(in_force.offer(3, "three", parse), Offer::Older);
