--- a/crates/policy/src/routing/hedge.rs
+++ b/crates/policy/src/routing/hedge.rs
@@ -26,11 +26,7 @@
 impl HedgePolicy {
     /// Creates a policy that adds at most `ratio` hedges per first attempt.
     pub fn new(ratio: f64, now: Instant) -> Self {
-        Self {
-            latency: LatencyWindow::new(now),
-            ratio,
-            saved: 0.0,
-        }
+        Self { latency: LatencyWindow::new(now), ratio, saved: 0.0 }
     }
 
     /// Changes the budget when a new sheet comes into force.
--- a/crates/policy/src/routing/latency.rs
+++ b/crates/policy/src/routing/latency.rs
@@ -25,11 +25,7 @@
 impl LatencyWindow {
     /// Creates an empty window.
     pub fn new(now: Instant) -> Self {
-        Self {
-            current: histogram(),
-            previous: histogram(),
-            turned: now,
-        }
+        Self { current: histogram(), previous: histogram(), turned: now }
     }
 
     /// Adds one latency.
--- a/crates/policy/src/routing/ownership.rs
+++ b/crates/policy/src/routing/ownership.rs
@@ -15,9 +15,7 @@
 
 /// Returns the host that schedules `item`, or `None` without hosts.
 pub fn owner_of<'a>(item: &str, hosts: impl IntoIterator<Item = &'a HostId>) -> Option<&'a HostId> {
-    hosts
-        .into_iter()
-        .max_by_key(|host| (weight(item, host), *host))
+    hosts.into_iter().max_by_key(|host| (weight(item, host), *host))
 }
 
 fn weight(item: &str, host: &HostId) -> u64 {
--- a/crates/policy/src/routing/retry.rs
+++ b/crates/policy/src/routing/retry.rs
@@ -14,10 +14,7 @@
 impl RetryBudget {
     /// Creates a full budget of `ratio` retries per first attempt.
     pub fn new(ratio: f64) -> Self {
-        Self {
-            ratio,
-            saved: MAX_SAVED,
-        }
+        Self { ratio, saved: MAX_SAVED }
     }
 
     /// Notes a first attempt, which earns its share of a retry.
--- a/crates/policy/src/routing/tests.rs
+++ b/crates/policy/src/routing/tests.rs
@@ -50,11 +50,7 @@
     assert_eq!(table.choose(replicas(), now), Some(&ids[0]));
     table.note_draining(&ids[0], now);
     assert_eq!(table.choose(replicas(), now), None);
-    assert!(
-        table
-            .choose(replicas(), now + Duration::from_secs(31))
-            .is_some()
-    );
+    assert!(table.choose(replicas(), now + Duration::from_secs(31)).is_some());
 }
 
 #[test]
@@ -66,10 +62,7 @@
         policy.note_latency(Duration::from_millis(ms), now);
     }
     let wait = policy.hedge_at(now).unwrap() - now;
-    assert!(
-        wait > Duration::from_millis(90) && wait < Duration::from_millis(100),
-        "{wait:?}"
-    );
+    assert!(wait > Duration::from_millis(90) && wait < Duration::from_millis(100), "{wait:?}");
 }
 
 #[test]
--- a/crates/policy/src/ticket/id.rs
+++ b/crates/policy/src/ticket/id.rs
@@ -39,13 +39,7 @@
         issued_ms: u64,
         key: TicketKey,
     ) -> Self {
-        let mut ticket = Self {
-            host,
-            incarnation,
-            sequence,
-            issued_ms,
-            code: 0,
-        };
+        let mut ticket = Self { host, incarnation, sequence, issued_ms, code: 0 };
         ticket.code = ticket.expected_code(key);
         ticket
     }
@@ -67,17 +61,8 @@
 
 impl fmt::Display for Ticket {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self {
-            host,
-            incarnation,
-            sequence,
-            issued_ms,
-            code,
-        } = self;
-        write!(
-            f,
-            "{host}.{incarnation:x}.{sequence:x}.{issued_ms:x}.{code:x}"
-        )
+        let Self { host, incarnation, sequence, issued_ms, code } = self;
+        write!(f, "{host}.{incarnation:x}.{sequence:x}.{issued_ms:x}.{code:x}")
     }
 }
 
@@ -104,16 +89,7 @@
         let issued_ms = number()?;
         let sequence = number()?;
         let incarnation = number()?;
-        let host = parts
-            .next()
-            .filter(|host| !host.is_empty())
-            .ok_or(TicketParseError)?;
-        Ok(Self {
-            host: host.into(),
-            incarnation,
-            sequence,
-            issued_ms,
-            code,
-        })
+        let host = parts.next().filter(|host| !host.is_empty()).ok_or(TicketParseError)?;
+        Ok(Self { host: host.into(), incarnation, sequence, issued_ms, code })
     }
 }
--- a/crates/policy/src/ticket/table.rs
+++ b/crates/policy/src/ticket/table.rs
@@ -90,20 +90,9 @@
         capacity: usize,
         now: Instant,
     ) -> Self {
-        let right = Right {
-            key,
-            origin: now,
-            used: BTreeMap::new(),
-        };
+        let right = Right { key, origin: now, used: BTreeMap::new() };
         let rights = BTreeMap::from([(own, right)]);
-        Self {
-            host,
-            own,
-            sequence: 0,
-            rights,
-            life,
-            capacity,
-        }
+        Self { host, own, sequence: 0, rights, life, capacity }
     }
 
     /// Issues an unused ticket, or `None` after the right was given up.
@@ -111,13 +100,7 @@
         let right = self.rights.get(&self.own)?;
         let issued_ms = millis(now.saturating_duration_since(right.origin));
         self.sequence += 1;
-        Some(Ticket::issue(
-            self.host.clone(),
-            self.own,
-            self.sequence,
-            issued_ms,
-            right.key,
-        ))
+        Some(Ticket::issue(self.host.clone(), self.own, self.sequence, issued_ms, right.key))
     }
 
     /// Returns how long a ticket lives.
@@ -146,9 +129,7 @@
             None if used >= self.capacity => Begin::Full,
             None => {
                 let state = TicketState::Running { digest };
-                right
-                    .used
-                    .insert(ticket.sequence, (ticket.issued_ms, state));
+                right.used.insert(ticket.sequence, (ticket.issued_ms, state));
                 Begin::Run
             }
             Some((_, TicketState::Running { digest: running })) if *running == digest => {
@@ -165,9 +146,7 @@
     pub fn finish(&mut self, ticket: &Ticket, outcome: StoredOutcome) {
         if let Some(right) = self.rights.get_mut(&ticket.incarnation) {
             let state = TicketState::Ended(outcome);
-            right
-                .used
-                .insert(ticket.sequence, (ticket.issued_ms, state));
+            right.used.insert(ticket.sequence, (ticket.issued_ms, state));
         }
     }
 
@@ -194,27 +173,16 @@
                 incarnation,
                 key: right.key,
                 age: now.saturating_duration_since(right.origin),
-                used: right
-                    .used
-                    .into_iter()
-                    .map(|(n, (ms, s))| (n, (ms, ended(s))))
-                    .collect(),
+                used: right.used.into_iter().map(|(n, (ms, s))| (n, (ms, ended(s)))).collect(),
             })
             .collect()
     }
 
     /// Takes over a right that its holder has given up; a repeat of the message changes nothing.
     pub fn adopt(&mut self, handover: Handover, now: Instant) {
-        let Handover {
-            incarnation,
-            key,
-            age,
-            used,
-        } = handover;
+        let Handover { incarnation, key, age, used } = handover;
         let origin = now.checked_sub(age).unwrap_or(now);
-        self.rights
-            .entry(incarnation)
-            .or_insert(Right { key, origin, used });
+        self.rights.entry(incarnation).or_insert(Right { key, origin, used });
     }
 
     /// Returns whether this process may run tickets of an incarnation.
@@ -225,9 +193,7 @@
     /// Returns the number of tickets that are running.
     pub fn running(&self) -> usize {
         let states = self.rights.values().flat_map(|right| right.used.values());
-        states
-            .filter(|(_, state)| matches!(state, TicketState::Running { .. }))
-            .count()
+        states.filter(|(_, state)| matches!(state, TicketState::Running { .. })).count()
     }
 
     /// Returns the number of tickets that are remembered.
--- a/crates/policy/src/ticket/tests.rs
+++ b/crates/policy/src/ticket/tests.rs
@@ -12,23 +12,11 @@
 const LIFE: Duration = Duration::from_secs(60);
 
 fn table(incarnation: u64, now: Instant) -> TicketTable {
-    TicketTable::new(
-        "h1".into(),
-        incarnation,
-        TicketKey(incarnation, 7),
-        LIFE,
-        1_000,
-        now,
-    )
+    TicketTable::new("h1".into(), incarnation, TicketKey(incarnation, 7), LIFE, 1_000, now)
 }
 
 fn outcome(verdict: Verdict, digest: u64) -> StoredOutcome {
-    StoredOutcome {
-        verdict,
-        receipt: "r".to_owned(),
-        reason: String::new(),
-        digest,
-    }
+    StoredOutcome { verdict, receipt: "r".to_owned(), reason: String::new(), digest }
 }
 
 #[test]
@@ -44,10 +32,7 @@
     let now = Instant::now();
     let mut table = table(9, now);
     let ticket = table.issue(now).unwrap();
-    let forged = Ticket {
-        sequence: 2,
-        ..ticket.clone()
-    };
+    let forged = Ticket { sequence: 2, ..ticket.clone() };
     assert_eq!(table.begin(&forged, 1, now), Begin::Forged);
     assert_eq!(table.begin(&ticket, 1, now + LIFE), Begin::Expired);
     assert_eq!(table.begin(&ticket, 1, now), Begin::Run);
--- a/crates/searcher/src/convert.rs
+++ b/crates/searcher/src/convert.rs
@@ -58,18 +58,9 @@
         200 => read_result(req, body),
         400 | 404 | 409 | 429 | 503 => Err(failure_of_refusal(req, body)),
         CANCELLED_STATUS => {
-            let not_begun = headers
-                .get(BEGAN_HEADER)
-                .is_some_and(|value| value == "false");
-            let verdict = if not_begun {
-                Verdict::NotRun
-            } else {
-                Verdict::MayHaveRun
-            };
-            Err(AttemptFailure {
-                verdict,
-                reason: FailureReason::Cancelled,
-            })
+            let not_begun = headers.get(BEGAN_HEADER).is_some_and(|value| value == "false");
+            let verdict = if not_begun { Verdict::NotRun } else { Verdict::MayHaveRun };
+            Err(AttemptFailure { verdict, reason: FailureReason::Cancelled })
         }
         other => Err(bad_reply(format!("status {other}"))),
     }
@@ -98,9 +89,7 @@
     }
     if (reply.snapshot, reply.shard) != (req.snapshot, req.shard) {
         let (snapshot, shard) = (reply.snapshot, reply.shard);
-        return Err(bad_reply(format!(
-            "reply of snapshot {snapshot}, shard {shard}"
-        )));
+        return Err(bad_reply(format!("reply of snapshot {snapshot}, shard {shard}")));
     }
     let entries = reply.entries.into_iter().map(|entry| Entry {
         key: entry.key,
@@ -116,10 +105,7 @@
         entries: entries.collect(),
         receipt: reply.receipt,
     };
-    Ok(RanReply {
-        result,
-        draining: reply.draining,
-    })
+    Ok(RanReply { result, draining: reply.draining })
 }
 
 fn bad_reply(why: String) -> AttemptFailure {
--- a/crates/searcher/src/link.rs
+++ b/crates/searcher/src/link.rs
@@ -62,18 +62,12 @@
     /// Asks the searcher to drop an attempt that was sent on another connection.
     pub async fn cancel(&mut self, attempt: AttemptId) -> Result<(), HttpError> {
         let path = format!("{ATTEMPTS_PATH}/{attempt:x}");
-        self.connection
-            .send(Method::DELETE, &path, PROTOBUF, Bytes::new())
-            .await
-            .map(drop)
+        self.connection.send(Method::DELETE, &path, PROTOBUF, Bytes::new()).await.map(drop)
     }
 
     /// Asks whether the searcher is leaving.
     pub async fn is_draining(&mut self) -> Result<bool, HttpError> {
-        let reply = self
-            .connection
-            .send(Method::GET, HEALTH_PATH, PROTOBUF, Bytes::new())
-            .await?;
+        let reply = self.connection.send(Method::GET, HEALTH_PATH, PROTOBUF, Bytes::new()).await?;
         Ok(reply.status() == StatusCode::SERVICE_UNAVAILABLE)
     }
 }
--- a/crates/searcher/src/tests.rs
+++ b/crates/searcher/src/tests.rs
@@ -32,13 +32,7 @@
 }
 
 fn reply(attempt: u64, snapshot: u32, shard: u32) -> Vec<u8> {
-    wire::ShardReply {
-        attempt,
-        snapshot,
-        shard,
-        ..Default::default()
-    }
-    .encode_to_vec()
+    wire::ShardReply { attempt, snapshot, shard, ..Default::default() }.encode_to_vec()
 }
 
 fn verdict(status: u16, body: &[u8]) -> Verdict {
@@ -59,44 +53,21 @@
 
 #[test]
 fn only_a_refusal_proves_that_nothing_ran() {
-    let refusal = wire::Refusal {
-        attempt: 7,
-        ..Default::default()
-    }
-    .encode_to_vec();
-    let other = wire::Refusal {
-        attempt: 8,
-        ..Default::default()
-    }
-    .encode_to_vec();
+    let refusal = wire::Refusal { attempt: 7, ..Default::default() }.encode_to_vec();
+    let other = wire::Refusal { attempt: 8, ..Default::default() }.encode_to_vec();
     assert_eq!(verdict(503, &refusal), Verdict::NotRun);
     assert_eq!(verdict(503, &other), Verdict::MayHaveRun);
     for status in [500, 502, 504, 499, 202] {
-        assert_eq!(
-            verdict(status, &refusal),
-            Verdict::MayHaveRun,
-            "status {status}"
-        );
+        assert_eq!(verdict(status, &refusal), Verdict::MayHaveRun, "status {status}");
     }
 }
 
 #[test]
 fn a_refusal_tells_which_snapshots_are_held() {
-    let refusal = wire::Refusal {
-        attempt: 7,
-        held_snapshots: vec![2],
-        ..Default::default()
-    };
-    let result = read_reply(
-        &request(),
-        StatusCode::CONFLICT,
-        &HeaderMap::new(),
-        &refusal.encode_to_vec(),
-    );
-    assert_eq!(
-        result.unwrap_err().reason,
-        FailureReason::WrongSnapshot(vec![2])
-    );
+    let refusal = wire::Refusal { attempt: 7, held_snapshots: vec![2], ..Default::default() };
+    let result =
+        read_reply(&request(), StatusCode::CONFLICT, &HeaderMap::new(), &refusal.encode_to_vec());
+    assert_eq!(result.unwrap_err().reason, FailureReason::WrongSnapshot(vec![2]));
 }
 
 quickcheck! {
--- a/crates/telemetry/src/log/event.rs
+++ b/crates/telemetry/src/log/event.rs
@@ -12,9 +12,7 @@
 impl Event {
     /// Starts an event with its name.
     pub fn new(name: &str) -> Self {
-        Self {
-            line: format!("event={name}"),
-        }
+        Self { line: format!("event={name}") }
     }
 
     /// Adds a field; a value with spaces, quotes or control characters is quoted.
--- a/crates/telemetry/src/metrics/recorder.rs
+++ b/crates/telemetry/src/metrics/recorder.rs
@@ -13,9 +13,8 @@
 use prometheus::TextEncoder;
 
 /// Upper bounds of the latency histogram's buckets, in seconds.
-const LATENCY_BOUNDS: [f64; 14] = [
-    0.001, 0.002, 0.005, 0.01, 0.02, 0.04, 0.07, 0.1, 0.15, 0.2, 0.28, 0.5, 1.0, 5.0,
-];
+const LATENCY_BOUNDS: [f64; 14] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.04, 0.07, 0.1, 0.15, 0.2, 0.28, 0.5, 1.0, 5.0];
 
 /// Upper bounds of the coverage histogram's buckets, as shares of the whole.
 const COVERAGE_BOUNDS: [f64; 10] = [0.0, 0.25, 0.5, 0.75, 0.8, 0.9, 0.95, 0.98, 0.99, 0.9999];
@@ -63,10 +62,7 @@
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("galenaloft");
         let histogram = |name: &'static str, bounds: &[f64]| {
-            meter
-                .f64_histogram(name)
-                .with_boundaries(bounds.to_vec())
-                .build()
+            meter.f64_histogram(name).with_boundaries(bounds.to_vec()).build()
         };
         Self {
             latency: histogram("galenaloft_request_seconds", &LATENCY_BOUNDS),
@@ -91,8 +87,7 @@
 
     /// Records a finished submission.
     pub fn submitted(&self, kind: &str, rank: u8, latency: Duration) {
-        self.latency
-            .record(latency.as_secs_f64(), &labels(kind, rank));
+        self.latency.record(latency.as_secs_f64(), &labels(kind, rank));
     }
 
     /// Counts attempts sent for one reason.
@@ -102,10 +97,7 @@
             AttemptRole::Hedge => "hedge",
             AttemptRole::Retry => "retry",
         };
-        let labels = [
-            KeyValue::new("kind", kind.to_owned()),
-            KeyValue::new("role", role),
-        ];
+        let labels = [KeyValue::new("kind", kind.to_owned()), KeyValue::new("role", role)];
         self.attempts.add(count, &labels);
     }
 
@@ -123,16 +115,11 @@
     pub fn encode(&self) -> Vec<u8> {
         let mut buf = Vec::new();
         let families = self.registry.gather();
-        TextEncoder::new()
-            .encode(&families, &mut buf)
-            .expect("writing to memory succeeds");
+        TextEncoder::new().encode(&families, &mut buf).expect("writing to memory succeeds");
         buf
     }
 }
 
 fn labels(kind: &str, rank: u8) -> [KeyValue; 2] {
-    [
-        KeyValue::new("kind", kind.to_owned()),
-        KeyValue::new("rank", i64::from(rank)),
-    ]
+    [KeyValue::new("kind", kind.to_owned()), KeyValue::new("rank", i64::from(rank))]
 }
--- a/tools/codegen/src/main.rs
+++ b/tools/codegen/src/main.rs
@@ -8,12 +8,8 @@
 use prost::Message;
 
 /// Border packages, and whether their messages are also mapped to JSON.
-const BORDERS: [(&str, bool); 4] = [
-    ("caller", true),
-    ("searcher", false),
-    ("platform", true),
-    ("operator", true),
-];
+const BORDERS: [(&str, bool); 4] =
+    [("caller", true), ("searcher", false), ("platform", true), ("operator", true)];
 
 fn main() -> ExitCode {
     match run() {
@@ -38,10 +34,7 @@
     fs::create_dir_all(&out)?;
     let file = format!("{border}.proto");
     let descriptors = protox::compile([&file], [root.join("proto")])?;
-    prost_build::Config::new()
-        .btree_map(["."])
-        .out_dir(&out)
-        .compile_fds(descriptors.clone())?;
+    prost_build::Config::new().btree_map(["."]).out_dir(&out).compile_fds(descriptors.clone())?;
     if json {
         pbjson_build::Builder::new()
             .register_descriptors(&descriptors.encode_to_vec())?
