Edge host on the users' platform: the whole path, thin

Cause: galenaloft has to run as the query tier on the users' platform, which the present daemon does not speak and whose hosts have a quarter of a core. Ruled out: an owner's queue one call away on the data path; it costs a second host a part. Before: nothing served.

--- /dev/null
+++ b/bin/galenaloft-edge/src/main.rs
@@ -0,0 +1,37 @@
+//! The daemon of an edge host on the users' platform.
+
+mod cli;
+mod error;
+
+use std::process::ExitCode;
+
+use galenaloft_config::edge::EdgeSettings;
+use galenaloft_telemetry::log;
+use galenaloft_telemetry::log::Level;
+use tokio::runtime::Builder;
+
+use crate::error::EdgeError;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("galenaloft-edge: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), EdgeError> {
+    let flags = cli::GalenaloftEdge::from_env_or_exit();
+    let settings = EdgeSettings::load(&flags.settings)?;
+    if flags.check {
+        println!("The settings of host {} are valid.", settings.host);
+        return Ok(());
+    }
+    log::init(Level::Info)?;
+    // The hosts have a fraction of one core: more threads would only cost memory.
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(galenaloft_edge::serve(settings, flags.settings))?;
+    Ok(())
+}
--- a/bin/galenaloft-standin/src/run.rs
+++ b/bin/galenaloft-standin/src/run.rs
@@ -22,8 +22,13 @@
 use crate::searcher::SearcherState;
 
 /// Bounds on the platform's clients.
-const LIMITS: Limits =
-    Limits { connections: 4_096, body: 16 * 1024 * 1024, read_timeout: Duration::from_secs(60) };
+const LIMITS: Limits = Limits {
+    connections: 4_096,
+    head: 16 * 1024,
+    body: 16 * 1024 * 1024,
+    read_timeout: Duration::from_secs(60),
+    idle_timeout: Duration::from_secs(60),
+};
 
 /// Plays the scene on a runtime of its own until its life ends.
 pub fn run(options: Options) -> Result<(), StandinError> {
--- a/bin/galenaloftd/src/serve.rs
+++ b/bin/galenaloftd/src/serve.rs
@@ -36,6 +36,12 @@
 /// Connections from operators.
 const OPERATOR_CONNECTIONS: usize = 64;
 
+/// Size of a caller's request head, in bytes.
+const CALLER_HEAD: usize = 16 * 1024;
+
+/// Size of an operator's request head, in bytes.
+const OPERATOR_HEAD: usize = 16 * 1024;
+
 /// Size of an operator's request body, in bytes.
 const OPERATOR_BODY: usize = 4_096;
 
@@ -108,8 +114,10 @@
 async fn serve_operators(listener: TcpListener, node: RealNode, stop: watch::Receiver<bool>) {
     let limits = Limits {
         connections: OPERATOR_CONNECTIONS,
+        head: OPERATOR_HEAD,
         body: OPERATOR_BODY,
         read_timeout: Duration::from_secs(5),
+        idle_timeout: Duration::from_secs(5),
     };
     let server = Server::plain(listener, limits);
     server.serve(move |req| handle_operator(node.clone(), req), stop).await;
@@ -122,8 +130,10 @@
 fn caller_limits(settings: &Settings) -> Limits {
     Limits {
         connections: settings.limits.connections as usize,
+        head: CALLER_HEAD,
         body: settings.limits.body as usize,
         read_timeout: settings.limits.read_timeout,
+        idle_timeout: settings.limits.read_timeout,
     }
 }
 
--- a/crates/config/src/reader/field.rs
+++ b/crates/config/src/reader/field.rs
@@ -87,6 +87,23 @@
         }
     }
 
+    /// Reads a decimal number within a range.
+    pub fn decimal(&self, range: RangeInclusive<f64>) -> Result<f64, ConfigError> {
+        let (low, high) = (range.start(), range.end());
+        let expected = || self.invalid(format!("a number from {low} to {high}"));
+        let number: f64 = self.text()?.parse().map_err(|_| expected())?;
+        if range.contains(&number) { Ok(number) } else { Err(expected()) }
+    }
+
+    /// Reads a duration that is written as a number of units, such as milliseconds.
+    pub fn units(
+        &self,
+        unit: Duration,
+        range: RangeInclusive<f64>,
+    ) -> Result<Duration, ConfigError> {
+        Ok(unit.mul_f64(self.decimal(range)?))
+    }
+
     /// Reads a duration with its unit, such as `280ms` or `2s`, within a range.
     pub fn duration(&self, range: RangeInclusive<Duration>) -> Result<Duration, ConfigError> {
         let low = humantime::format_duration(*range.start());
--- /dev/null
+++ b/crates/edge/src/host.rs
@@ -0,0 +1,142 @@
+//! What the tasks of one host share.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use galenaloft_config::edge::EdgeSettings;
+use galenaloft_http::Limits;
+use galenaloft_policy::ids::RouteName;
+use galenaloft_policy::ids::ServiceId;
+use galenaloft_policy::route::Configuration;
+use galenaloft_policy::route::Route;
+use galenaloft_policy::route::Split;
+use galenaloft_policy::route::WeightedService;
+use galenaloft_policy::routing::LatencyEstimate;
+use tokio::sync::watch;
+
+use crate::searchers::Fleet;
+use crate::sync::lock;
+
+/// Connections that callers may open; the platform gives a process some thousand descriptors.
+const CALLER_CONNECTIONS: usize = 2_000;
+
+/// Hosts among which connections and budgets are shared out while their number is unknown.
+const ASSUMED_HOSTS: usize = 8;
+
+/// Part of its objective that a request is expected to take at a searcher while nothing is known.
+const FIRST_ESTIMATE: u32 = 6;
+
+/// Latencies of so many routes are kept.
+const MAX_ROUTES: usize = 64;
+
+/// State of one edge host.
+#[derive(Debug)]
+pub struct Host {
+    /// Settings of the process.
+    pub settings: EdgeSettings,
+    /// Where the settings were read.
+    pub settings_file: PathBuf,
+    /// The searchers.
+    pub fleet: Fleet,
+    config: Mutex<Option<Arc<Configuration>>>,
+    /// Bounds on callers, by the configuration.
+    pub limits: watch::Sender<Limits>,
+    splits: Mutex<BTreeMap<RouteName, Split>>,
+    latencies: Mutex<BTreeMap<RouteName, LatencyEstimate>>,
+    /// Whether the list of searchers was read.
+    pub listed: AtomicBool,
+    /// Whether a planned stop has begun.
+    pub stopping: AtomicBool,
+    /// Requests of callers that are not answered yet.
+    pub in_progress: AtomicUsize,
+}
+
+impl Host {
+    /// Creates the state of a host that knows nothing yet.
+    pub fn new(settings: EdgeSettings, settings_file: PathBuf) -> Self {
+        Self {
+            fleet: Fleet::new(settings.zone.clone()),
+            settings,
+            settings_file,
+            config: Mutex::new(None),
+            limits: watch::channel(Limits {
+                connections: CALLER_CONNECTIONS,
+                head: 16 * 1024,
+                body: 256 * 1024,
+                read_timeout: Duration::from_secs(3),
+                idle_timeout: Duration::from_secs(15),
+            })
+            .0,
+            splits: Mutex::default(),
+            latencies: Mutex::default(),
+            listed: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+            in_progress: AtomicUsize::new(0),
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Option<Arc<Configuration>> {
+        lock(&self.config).clone()
+    }
+
+    /// Adopts a configuration unless it is older than the one in force. Returns whether it did.
+    pub fn adopt(&self, config: Configuration) -> bool {
+        let mut current = lock(&self.config);
+        if current.as_ref().is_some_and(|known| known.version >= config.version) {
+            return false;
+        }
+        self.limits.send_modify(|limits| {
+            limits.head = config.limits.head_bytes;
+            limits.body = config.limits.body_bytes;
+            limits.idle_timeout = config.limits.idle_timeout + config.limits.head_timeout;
+        });
+        *current = Some(Arc::new(config));
+        true
+    }
+
+    /// Returns whether the host can answer callers and means to go on doing so.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.listed.load(Ordering::Relaxed) && self.config().is_some()
+    }
+
+    /// Returns whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Returns among how many hosts connections and budgets are shared out.
+    pub fn hosts(&self) -> usize {
+        ASSUMED_HOSTS
+    }
+
+    /// Returns the service for the next request of a route with weighted services.
+    pub fn split(&self, route: &Route, parts: &[WeightedService]) -> Option<ServiceId> {
+        lock(&self.splits).entry(route.name.clone()).or_default().next(parts)
+    }
+
+    /// Notes the latency of a route at some searcher.
+    pub fn note_latency(&self, route: &RouteName, latency: Duration, now: Instant) {
+        let mut latencies = lock(&self.latencies);
+        if latencies.len() >= MAX_ROUTES && !latencies.contains_key(route) {
+            latencies.clear();
+        }
+        latencies
+            .entry(route.clone())
+            .and_modify(|estimate| estimate.record(latency, now))
+            .or_insert_with(|| LatencyEstimate::new(latency, now));
+    }
+
+    /// Returns the latency of a route over all searchers.
+    pub fn latency(&self, route: &Route, now: Instant) -> LatencyEstimate {
+        let known = lock(&self.latencies).get(&route.name).copied();
+        known.unwrap_or_else(|| LatencyEstimate::new(route.target_latency / FIRST_ESTIMATE, now))
+    }
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,20 @@
+//! The edge host: answers callers on the users' platform from the searchers that it lists.
+//!
+//! A request passes `front` (the caller's side), `query` (one searcher, or all shards), `searchers`
+//! (choice of a searcher, its connections) and back. `store` keeps the configuration and the list
+//! of searchers up to date.
+
+mod clock;
+mod error;
+mod front;
+mod host;
+mod probe;
+mod query;
+mod readiness;
+mod searchers;
+mod serve;
+mod store;
+mod sync;
+
+pub use error::ServeError;
+pub use serve::serve;
--- /dev/null
+++ b/crates/edge/src/probe.rs
@@ -0,0 +1,88 @@
+//! Upkeep of connections and searchers: opens connections ahead of use, asks suspects whether they
+//! are back.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use galenaloft_adapter::searcher;
+use tokio::time::timeout;
+
+use crate::clock::now;
+use crate::host::Host;
+use crate::searchers::Lease;
+use crate::searchers::Searcher;
+use crate::searchers::Service;
+use crate::sync::lock;
+
+/// Time between two rounds.
+const INTERVAL: Duration = Duration::from_millis(250);
+
+/// Longest wait for the answer to a health request.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Runs for as long as the process does.
+pub async fn keep_up(host: Arc<Host>) {
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        let Some(config) = host.config() else {
+            continue;
+        };
+        for (id, service) in host.fleet.services() {
+            let Some(spec) = config.services.get(&id) else {
+                continue;
+            };
+            let limit = (spec.max_connections as usize / host.hosts()).max(1);
+            for searcher in service.searchers() {
+                searcher.sweep(now());
+                if searcher.is_draining() {
+                    continue;
+                }
+                let suspect = lock(&searcher.health).wants_probe(now());
+                if suspect || searcher.connections() == 0 {
+                    probe(&service, &searcher, limit, suspect.then_some(&spec.health_path));
+                }
+            }
+        }
+    }
+}
+
+/// Opens a connection, and asks for the searcher's health on it if a path for that is given.
+fn probe(service: &Arc<Service>, searcher: &Arc<Searcher>, limit: usize, path: Option<&String>) {
+    if searcher.probed.swap(true, Ordering::Relaxed) {
+        return;
+    }
+    let Some(lease) = Lease::begin(service, searcher, limit, now()) else {
+        searcher.probed.store(false, Ordering::Relaxed);
+        return;
+    };
+    let (searcher, path) = (searcher.clone(), path.cloned());
+    tokio::spawn(async move {
+        let healthy = timeout(HEALTH_TIMEOUT, exchange(lease, path)).await.unwrap_or(false);
+        match healthy {
+            true => lock(&searcher.health).note_recovered(),
+            false => drop(lock(&searcher.health).note_failure(now())),
+        }
+        searcher.probed.store(false, Ordering::Relaxed);
+    });
+}
+
+async fn exchange(mut lease: Lease, path: Option<String>) -> bool {
+    let (id, address) = (lease.searcher.entry.id.clone(), lease.searcher.address());
+    let Ok(connection) = lease.connection().await else {
+        return false;
+    };
+    let Some(path) = path else {
+        lease.keep(None);
+        return true;
+    };
+    let Some(req) = searcher::health_request(&path, &address.to_string()) else {
+        return false;
+    };
+    let Ok(reply) = connection.send_request(req).await else {
+        return false;
+    };
+    let healthy = searcher::is_healthy(&reply, &id);
+    lease.keep(searcher::idle_timeout(reply.headers()));
+    healthy
+}
--- /dev/null
+++ b/crates/edge/src/query/attempt.rs
@@ -0,0 +1,110 @@
+//! One attempt: one request to one searcher.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use galenaloft_adapter::searcher;
+use galenaloft_adapter::searcher::Refusal;
+use galenaloft_adapter::searcher::SearcherAnswer;
+use galenaloft_adapter::searcher::SearcherReply;
+use galenaloft_policy::verdict::Verdict;
+use tokio::time::timeout;
+
+use crate::clock::now;
+use crate::host::Host;
+use crate::query::Plan;
+use crate::searchers::Lease;
+use crate::sync::lock;
+
+/// How long an attempt whose answer is no longer needed may go on, so that its connection is kept.
+const LEFTOVER_TIME: Duration = Duration::from_millis(300);
+
+/// Why an attempt gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AttemptFailure {
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// What went wrong.
+    pub why: &'static str,
+}
+
+/// A searcher's answer, or why there is none.
+pub type Outcome = Result<SearcherAnswer, AttemptFailure>;
+
+/// A running attempt. Dropping it closes its connection, which cancels it at the searcher.
+pub type Attempt = Pin<Box<dyn Future<Output = Outcome> + Send>>;
+
+/// Begins an attempt on a connection that was leased for it.
+pub fn begin(host: &Arc<Host>, plan: &Arc<Plan>, lease: Lease) -> Attempt {
+    Box::pin(run(host.clone(), plan.clone(), lease))
+}
+
+/// Lets attempts go on for a while whose answers are no longer needed.
+pub fn let_finish<F: Future<Output = ()> + Send + 'static>(rest: F) {
+    tokio::spawn(async move {
+        // What does not end in time is cancelled, which is all there is to do about it.
+        let _ = timeout(LEFTOVER_TIME, rest).await;
+    });
+}
+
+fn failed(verdict: Verdict, why: &'static str) -> Outcome {
+    Err(AttemptFailure { verdict, why })
+}
+
+async fn run(host: Arc<Host>, plan: Arc<Plan>, mut lease: Lease) -> Outcome {
+    let searcher = lease.searcher.clone();
+    let connection = match lease.connection().await {
+        Ok(connection) => connection,
+        Err(_) => {
+            lock(&searcher.health).note_failure(now());
+            return failed(Verdict::NotRun, "connect_failed");
+        }
+    };
+    let sent = now();
+    let left = plan.deadline.saturating_duration_since(sent);
+    if left.is_zero() {
+        return failed(Verdict::NotRun, "expired");
+    }
+    let req = searcher::request(&plan.call, &searcher.entry.id, left);
+    let reply = match connection.send_request(req).await {
+        Ok(reply) => reply,
+        Err(e) => {
+            let present = now();
+            if !e.may_be_received() {
+                return failed(Verdict::NotRun, "not_sent");
+            }
+            lock(&searcher.health).note_failure(present);
+            return failed(Verdict::MayHaveRun, "connection_lost");
+        }
+    };
+    let present = now();
+    let idle_timeout = searcher::idle_timeout(reply.headers());
+    match searcher::read_reply(reply, &plan.call.id) {
+        SearcherReply::Ran(answer) => {
+            let latency = present.saturating_duration_since(lease.began);
+            if answer.status.is_success() {
+                lock(&searcher.health).note_answer(&plan.route.name, latency, present);
+                host.note_latency(&plan.route.name, latency, present);
+            } else if answer.status.is_server_error() {
+                lock(&searcher.health).note_failure(present);
+            }
+            lease.keep(idle_timeout);
+            Ok(answer)
+        }
+        SearcherReply::NotRun(Refusal::Busy) => {
+            lock(&searcher.health).note_full(present);
+            lease.keep(idle_timeout);
+            failed(Verdict::NotRun, "searcher_busy")
+        }
+        SearcherReply::NotRun(Refusal::OtherSearcher) => {
+            searcher.drain();
+            failed(Verdict::NotRun, "other_searcher")
+        }
+        SearcherReply::Unusable(why) => {
+            lock(&searcher.health).note_failure(present);
+            failed(Verdict::MayHaveRun, why)
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/query/mod.rs
@@ -0,0 +1,11 @@
+//! Requests to searchers: one of a service, or one of each shard.
+
+mod attempt;
+mod gather;
+mod plan;
+mod shard;
+mod single;
+
+pub use gather::gather;
+pub use plan::Plan;
+pub use single::single;
--- /dev/null
+++ b/crates/edge/src/query/plan.rs
@@ -0,0 +1,44 @@
+//! What is fixed about a request when it arrives.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use galenaloft_adapter::caller::CallerRequest;
+use galenaloft_policy::route::Configuration;
+use galenaloft_policy::route::Route;
+
+/// One request with its route under the configuration that it began with.
+#[derive(Debug)]
+pub struct Plan {
+    /// The request.
+    pub call: CallerRequest,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The configuration that the route belongs to.
+    pub config: Arc<Configuration>,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// Latest time for an answer.
+    pub deadline: Instant,
+}
+
+impl Plan {
+    /// Plans a request that arrived at `arrived`.
+    pub fn new(
+        call: CallerRequest,
+        route: Arc<Route>,
+        config: Arc<Configuration>,
+        arrived: Instant,
+    ) -> Self {
+        let patience = call.patience.unwrap_or(Duration::MAX).min(route.timeout);
+        Self { call, route, config, arrived, deadline: arrived + patience }
+    }
+
+    /// Returns how many connections one host may have to a searcher of the service.
+    pub fn connection_limit(&self, service: &str, hosts: usize) -> usize {
+        let spec = self.config.services.get(service);
+        let all = spec.map_or(hosts, |spec| spec.max_connections as usize);
+        (all / hosts).max(1)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/query/shard.rs
@@ -0,0 +1,232 @@
+//! The attempts on the searchers of one shard or service, with hedges and retries.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::stream::FuturesUnordered;
+use futures::stream::StreamExt;
+use galenaloft_adapter::searcher::SearcherAnswer;
+use galenaloft_policy::ids::SearcherId;
+use galenaloft_policy::ids::ServiceId;
+use galenaloft_policy::verdict::Verdict;
+
+use crate::clock::now;
+use crate::clock::sleep_until;
+use crate::host::Host;
+use crate::query::Plan;
+use crate::query::attempt;
+use crate::query::attempt::Attempt;
+use crate::query::attempt::AttemptFailure;
+use crate::searchers::Choice;
+use crate::searchers::Lease;
+use crate::searchers::Searcher;
+use crate::searchers::Service;
+use crate::sync::lock;
+
+/// Extra requests that hedges leave to retries, which answer a failure and not only slowness.
+const RETRY_RESERVE: f64 = 1.0;
+
+/// Part of the time to the objective after which a hedge is useful at the latest.
+const HEDGE_BY: u32 = 2;
+
+/// Longest wait for room before the searchers are looked at again.
+const ROOM_CHECK: Duration = Duration::from_millis(20);
+
+/// Why a shard has no answer.
+#[derive(Debug, Clone, Copy)]
+pub enum Missed {
+    /// No searcher of it was left to ask.
+    NoSearcher,
+    /// The last attempt failed.
+    Failed(AttemptFailure),
+    /// The time was up.
+    Expired,
+}
+
+/// The request on one shard or service.
+pub struct ShardQuery {
+    host: Arc<Host>,
+    plan: Arc<Plan>,
+    service_id: ServiceId,
+    service: Arc<Service>,
+    tried: Vec<SearcherId>,
+    running: FuturesUnordered<Attempt>,
+    /// When the running attempts are overdue.
+    overdue: Option<Instant>,
+    /// Whether some attempt may have run.
+    may_have_run: bool,
+    /// Set when the answer has gone out and no further attempt is of use.
+    over: Arc<AtomicBool>,
+}
+
+impl ShardQuery {
+    /// Prepares the request on one service.
+    pub fn new(
+        host: &Arc<Host>,
+        plan: &Arc<Plan>,
+        service_id: &ServiceId,
+        over: &Arc<AtomicBool>,
+    ) -> Self {
+        Self {
+            service: host.fleet.service(service_id),
+            host: host.clone(),
+            plan: plan.clone(),
+            service_id: service_id.clone(),
+            tried: Vec::new(),
+            running: FuturesUnordered::new(),
+            overdue: None,
+            may_have_run: false,
+            over: over.clone(),
+        }
+    }
+
+    /// Returns whether some attempt may have run so far.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// Asks searchers until one answers, none is left or the time is up. `accept` tells whether
+    /// an answer ends the search for a better one.
+    pub async fn run(
+        &mut self,
+        accept: fn(&SearcherAnswer) -> bool,
+    ) -> Result<SearcherAnswer, Missed> {
+        lock(&self.service.budget).note_first(&self.host.settings.extra, self.host.hosts());
+        let mut last: Option<Result<SearcherAnswer, Missed>> = None;
+        loop {
+            if self.running.is_empty() {
+                match self.start(!self.tried.is_empty()).await {
+                    Ok(()) => {}
+                    Err(missed) => return last.unwrap_or(Err(missed)),
+                }
+            }
+            let overdue = self.overdue.filter(|_| self.may_hedge()).unwrap_or(self.plan.deadline);
+            tokio::select! {
+                biased;
+                Some(outcome) = self.running.next() => match outcome {
+                    Ok(answer) if accept(&answer) => {
+                        self.leave_rest();
+                        return Ok(answer);
+                    }
+                    Ok(answer) => {
+                        self.may_have_run = true;
+                        last = Some(Ok(answer));
+                    }
+                    Err(failure) => {
+                        if failure.verdict != Verdict::NotRun {
+                            self.may_have_run = true;
+                            if !self.plan.route.idempotent {
+                                return Err(Missed::Failed(failure));
+                            }
+                        }
+                        last = last.or(Some(Err(Missed::Failed(failure))));
+                    }
+                },
+                () = sleep_until(overdue) => {
+                    if now() >= self.plan.deadline {
+                        self.may_have_run |= !self.running.is_empty();
+                        return Err(Missed::Expired);
+                    }
+                    self.hedge();
+                }
+            }
+            if !self.plan.route.idempotent && self.may_have_run {
+                return last.unwrap_or(Err(Missed::Expired));
+            }
+        }
+    }
+
+    fn may_hedge(&self) -> bool {
+        self.plan.route.idempotent && !self.over.load(Ordering::Relaxed) && self.may_try()
+    }
+
+    fn may_try(&self) -> bool {
+        self.tried.len() < self.plan.route.max_attempts as usize
+    }
+
+    /// Starts the first attempt, or another one after all others have failed.
+    async fn start(&mut self, again: bool) -> Result<(), Missed> {
+        if again && (self.over.load(Ordering::Relaxed) || !self.may_try()) {
+            return Err(Missed::NoSearcher);
+        }
+        loop {
+            let present = now();
+            if present >= self.plan.deadline {
+                return Err(Missed::Expired);
+            }
+            match self.choose(present) {
+                Choice::Searcher(searcher) => {
+                    if again && !lock(&self.service.budget).spend() {
+                        return Err(Missed::NoSearcher);
+                    }
+                    self.send(&searcher, present);
+                    return Ok(());
+                }
+                Choice::NoSearcher => return Err(Missed::NoSearcher),
+                Choice::NoRoom => {
+                    let check = (present + ROOM_CHECK).min(self.plan.deadline);
+                    tokio::select! {
+                        () = self.service.freed.notified() => {}
+                        () = sleep_until(check) => {}
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends the request to a second searcher if the budget allows it.
+    fn hedge(&mut self) {
+        self.overdue = None;
+        let present = now();
+        if !lock(&self.service.budget).allows(RETRY_RESERVE) {
+            return;
+        }
+        if let Choice::Searcher(searcher) = self.choose(present) {
+            if lock(&self.service.budget).spend() {
+                self.send(&searcher, present);
+            }
+        }
+    }
+
+    fn choose(&self, present: Instant) -> Choice {
+        let prior = self.host.latency(&self.plan.route, present).mean();
+        let limit = self.limit();
+        self.service.choose(&self.plan.route.name, prior, &self.tried, limit, present)
+    }
+
+    fn limit(&self) -> usize {
+        self.plan.connection_limit(&self.service_id, self.host.hosts())
+    }
+
+    fn send(&mut self, searcher: &Arc<Searcher>, present: Instant) {
+        let Some(lease) = Lease::begin(&self.service, searcher, self.limit(), present) else {
+            return;
+        };
+        self.tried.push(searcher.entry.id.clone());
+        self.overdue = Some(self.overdue_at(searcher, present));
+        self.running.push(attempt::begin(&self.host, &self.plan, lease));
+    }
+
+    fn overdue_at(&self, searcher: &Searcher, present: Instant) -> Instant {
+        let all = self.host.latency(&self.plan.route, present).overdue();
+        let own = lock(&searcher.health).overdue(&self.plan.route.name);
+        let objective = self.plan.arrived + self.plan.route.target_latency;
+        let half = objective.saturating_duration_since(present) / HEDGE_BY;
+        let wait = own.map_or(all, |own| own.min(all * 2));
+        match half.is_zero() {
+            true => present + wait,
+            false => present + wait.min(half),
+        }
+    }
+
+    /// Lets the attempts that are still running end by themselves for a while.
+    fn leave_rest(&mut self) {
+        let running = std::mem::take(&mut self.running);
+        if !running.is_empty() {
+            attempt::let_finish(running.for_each(|_| async {}));
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/searchers/fleet.rs
@@ -0,0 +1,145 @@
+//! The searchers of every service.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Instant;
+
+use galenaloft_policy::directory::Directory;
+use galenaloft_policy::directory::SearcherState;
+use galenaloft_policy::ids::RouteName;
+use galenaloft_policy::ids::SearcherId;
+use galenaloft_policy::ids::ServiceId;
+use galenaloft_policy::ids::ZoneId;
+use galenaloft_policy::routing::ExtraBudget;
+use tokio::sync::Notify;
+
+use crate::searchers::Searcher;
+use crate::sync::lock;
+
+/// One service: its searchers and what one host may spend on it.
+#[derive(Debug, Default)]
+pub struct Service {
+    searchers: Mutex<Vec<Arc<Searcher>>>,
+    /// Budget of requests beyond the first.
+    pub budget: Mutex<ExtraBudget>,
+    /// Signalled when a connection becomes free.
+    pub freed: Notify,
+}
+
+/// What a choice found.
+#[derive(Debug)]
+pub enum Choice {
+    /// The searcher that is expected to answer first.
+    Searcher(Arc<Searcher>),
+    /// Searchers are there, but each has as many requests of this host as it may.
+    NoRoom,
+    /// No searcher is left.
+    NoSearcher,
+}
+
+impl Service {
+    /// Returns the searchers.
+    pub fn searchers(&self) -> Vec<Arc<Searcher>> {
+        lock(&self.searchers).clone()
+    }
+
+    /// Chooses a searcher that is not in `tried`.
+    pub fn choose(
+        &self,
+        route: &RouteName,
+        prior: f64,
+        tried: &[SearcherId],
+        limit: usize,
+        now: Instant,
+    ) -> Choice {
+        let searchers = lock(&self.searchers);
+        let mut best: Option<(f64, &Arc<Searcher>)> = None;
+        let mut full = false;
+        for searcher in searchers.iter() {
+            if searcher.is_draining() || tried.contains(&searcher.entry.id) {
+                continue;
+            }
+            if !searcher.has_room(limit) {
+                full = true;
+                continue;
+            }
+            let cost = searcher.cost(route, prior, now);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, searcher));
+            }
+        }
+        match best {
+            Some((_, searcher)) => Choice::Searcher(searcher.clone()),
+            None if full => Choice::NoRoom,
+            None => Choice::NoSearcher,
+        }
+    }
+}
+
+/// Every service that has or had searchers.
+#[derive(Debug)]
+pub struct Fleet {
+    zone: ZoneId,
+    services: Mutex<BTreeMap<ServiceId, Arc<Service>>>,
+}
+
+impl Fleet {
+    /// Creates a fleet without searchers, seen from `zone`.
+    pub fn new(zone: ZoneId) -> Self {
+        Self { zone, services: Mutex::default() }
+    }
+
+    /// Returns a service; one without searchers is created empty.
+    pub fn service(&self, id: &ServiceId) -> Arc<Service> {
+        let mut services = lock(&self.services);
+        match services.get(id) {
+            Some(service) => service.clone(),
+            None => services.entry(id.clone()).or_default().clone(),
+        }
+    }
+
+    /// Returns every service with its name.
+    pub fn services(&self) -> Vec<(ServiceId, Arc<Service>)> {
+        lock(&self.services).iter().map(|(id, service)| (id.clone(), service.clone())).collect()
+    }
+
+    /// Brings the searchers in line with the directory. Those that stay keep what was observed of
+    /// them; those that are gone drain.
+    pub fn update(&self, directory: &Directory) {
+        let mut listed: BTreeMap<ServiceId, Vec<Arc<Searcher>>> = BTreeMap::new();
+        for entry in directory.entries() {
+            let known = self.find(&entry.service, &entry.id);
+            let searcher = match known.filter(|known| known.entry.is_same_run(entry)) {
+                Some(known) => known,
+                None => {
+                    let local = entry.zone == self.zone;
+                    Arc::new(Searcher::new(entry.clone(), local))
+                }
+            };
+            if entry.state == SearcherState::Draining {
+                searcher.drain();
+            }
+            listed.entry(entry.service.clone()).or_default().push(searcher);
+        }
+        for (id, searchers) in &listed {
+            let service = self.service(id);
+            let before = std::mem::replace(&mut *lock(&service.searchers), searchers.clone());
+            let gone =
+                before.iter().filter(|old| !searchers.iter().any(|new| Arc::ptr_eq(old, new)));
+            gone.for_each(|searcher| searcher.drain());
+        }
+        lock(&self.services).retain(|id, service| {
+            if !listed.contains_key(id) {
+                lock(&service.searchers).drain(..).for_each(|searcher| searcher.drain());
+            }
+            listed.contains_key(id) || Arc::strong_count(service) > 1
+        });
+    }
+
+    fn find(&self, service: &ServiceId, id: &SearcherId) -> Option<Arc<Searcher>> {
+        let service = lock(&self.services).get(service)?.clone();
+        let searchers = lock(&service.searchers);
+        searchers.iter().find(|searcher| searcher.entry.id == *id).cloned()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/searchers/mod.rs
@@ -0,0 +1,11 @@
+//! The searchers: which there are, what was observed of them, and their connections.
+
+mod fleet;
+mod lease;
+mod searcher;
+
+pub use fleet::Choice;
+pub use fleet::Fleet;
+pub use fleet::Service;
+pub use lease::Lease;
+pub use searcher::Searcher;
--- /dev/null
+++ b/crates/edge/src/serve.rs
@@ -0,0 +1,92 @@
+//! Start and planned stop of the host.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use galenaloft_config::edge::EdgeSettings;
+use galenaloft_http::Limits;
+use galenaloft_http::Server;
+use galenaloft_http::text;
+use galenaloft_telemetry::log::Event;
+use tokio::net::TcpListener;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::error::ServeError;
+use crate::front;
+use crate::host::Host;
+use crate::probe;
+use crate::readiness;
+use crate::store;
+
+/// How long the balancer may send new connections after the host is no longer ready: it asks each
+/// second and takes two misses.
+const BALANCER_LAG: Duration = Duration::from_millis(2_600);
+
+/// Part of the time to stop that is kept back to write the last answers.
+const LAST_ANSWERS: Duration = Duration::from_millis(900);
+
+/// Bounds on those who ask whether the host is ready.
+const READINESS_LIMITS: Limits = Limits {
+    connections: 32,
+    head: 8 * 1024,
+    body: 0,
+    read_timeout: Duration::from_secs(5),
+    idle_timeout: Duration::from_secs(60),
+};
+
+/// Serves until a signal asks for a stop.
+pub async fn serve(settings: EdgeSettings, file: PathBuf) -> Result<(), ServeError> {
+    let callers = bind(settings.listen.callers).await?;
+    let ready = bind(settings.listen.readiness).await?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(ServeError::Signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(ServeError::Signals)?;
+    let mut reload = signal(SignalKind::hangup()).map_err(ServeError::Signals)?;
+    Event::new("started").with("host", &settings.host).with("zone", &settings.zone).info();
+    let grace = settings.grace;
+    let host = Arc::new(Host::new(settings, file));
+    let (stop, stop_rx) = watch::channel(false);
+    let front = tokio::spawn(serve_callers(callers, host.clone(), stop_rx.clone()));
+    tokio::spawn(serve_readiness(ready, host.clone()));
+    tokio::spawn(store::read(host.clone()));
+    tokio::spawn(probe::keep_up(host.clone()));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => Event::new("reload").info(),
+        }
+    }
+    host.stopping.store(true, Ordering::Relaxed);
+    let running = host.in_progress.load(Ordering::Relaxed);
+    Event::new("stopping").with("in_progress", running).info();
+    let rest = grace.saturating_sub(LAST_ANSWERS);
+    let lag = BALANCER_LAG.min(rest / 2);
+    tokio::time::sleep(lag).await;
+    stop.send_replace(true);
+    let cut = timeout(rest.saturating_sub(lag), front).await.is_err();
+    let running = host.in_progress.load(Ordering::Relaxed);
+    Event::new("stopped").with("cut", cut).with("in_progress", running).info();
+    Ok(())
+}
+
+async fn serve_callers(listener: TcpListener, host: Arc<Host>, stop: watch::Receiver<bool>) {
+    let limits = host.limits.subscribe();
+    let server = Server::with_changing_limits(listener, limits, |status, why| text(status, why));
+    server.serve(move |req| front::answer(host.clone(), req), stop).await;
+}
+
+async fn serve_readiness(listener: TcpListener, host: Arc<Host>) {
+    let (_open, never) = watch::channel(false);
+    let server = Server::plain(listener, READINESS_LIMITS);
+    server.serve(move |req| readiness::answer(host.clone(), req), never).await;
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, ServeError> {
+    TcpListener::bind(address).await.map_err(|e| ServeError::Listen(address, e))
+}
--- /dev/null
+++ b/crates/edge/src/store/mod.rs
@@ -0,0 +1,5 @@
+//! Reading the platform's store.
+
+mod reader;
+
+pub use reader::read;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -15,7 +15,10 @@
 use hyper::header::HOST;
 use hyper::header::IF_NONE_MATCH;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 use crate::error::HttpError;
@@ -23,11 +26,34 @@
 /// Largest reply that is read, in bytes.
 const MAX_REPLY: usize = 4 * 1024 * 1024;
 
-/// One HTTP/1.1 connection that carries one request at a time.
+/// Idle time after which the kernel probes a connection, in seconds resolution of the kernel.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+
+/// Unanswered keep-alive probes after which a connection counts as lost.
+const KEEPALIVE_PROBES: u32 = 2;
+
+/// How long written bytes may stay unacknowledged before the connection counts as lost.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
+
+/// One HTTP/1.1 connection that carries one request at a time. Dropping it closes it at once.
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     peer: SocketAddr,
+    /// Drives the connection; dropping the set ends the task.
+    _driver: JoinSet<Result<(), hyper::Error>>,
+}
+
+/// Sets the options of a connection that this process opened.
+fn prepare(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_IDLE)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
 }
 
 impl Connection {
@@ -37,12 +63,13 @@
             .await
             .map_err(|_| HttpError::Connect(format!("{peer} did not answer")))?
             .map_err(|e| HttpError::Connect(format!("{peer}: {e}")))?;
-        stream.set_nodelay(true).map_err(|e| HttpError::Connect(format!("{peer}: {e}")))?;
+        prepare(&stream).map_err(|e| HttpError::Connect(format!("{peer}: {e}")))?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|e| HttpError::Connect(format!("{peer}: {e}")))?;
-        tokio::spawn(connection);
-        Ok(Self { sender, peer })
+        let mut driver = JoinSet::new();
+        driver.spawn(connection);
+        Ok(Self { sender, peer, _driver: driver })
     }
 
     /// Returns whether the connection can still carry a request.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,7 @@
 pub use respond::Reply;
 pub use respond::json;
 pub use respond::text;
+pub use server::Arrival;
 pub use server::Limits;
 pub use server::Server;
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,6 +3,8 @@
 use std::convert::Infallible;
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -28,8 +30,8 @@
 /// Most headers of a request.
 const MAX_HEADERS: usize = 64;
 
-/// Largest head of a request, in bytes.
-const MAX_HEAD: usize = 16 * 1024;
+/// Smallest buffer for heads that the HTTP library accepts, in bytes.
+const MIN_HEAD: usize = 8 * 1024;
 
 /// Pause after a failed accept, so that a lack of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -39,10 +41,21 @@
 pub struct Limits {
     /// Open connections; a further one is closed at once.
     pub connections: usize,
+    /// Size of a head, in bytes; the HTTP library takes no less than 8 KiB.
+    pub head: usize,
     /// Size of a body, in bytes.
     pub body: usize,
-    /// Time for a head, and again for a body, to arrive.
+    /// Time for a body to arrive.
     pub read_timeout: Duration,
+    /// Time for the next head to arrive, idle time included.
+    pub idle_timeout: Duration,
+}
+
+/// What the server knows of the connection that a request came on; an extension of the request.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival {
+    /// Whether it is the first request of its connection.
+    pub first_on_connection: bool,
 }
 
 /// Builds the reply to a request whose body was refused.
@@ -52,13 +65,22 @@
 #[derive(Debug)]
 pub struct Server {
     listener: TcpListener,
-    limits: Limits,
+    limits: watch::Receiver<Limits>,
     refuse: RefuseBody,
 }
 
 impl Server {
     /// Creates a server; `refuse` builds the reply to a request whose body is refused.
     pub fn new(listener: TcpListener, limits: Limits, refuse: RefuseBody) -> Self {
+        Self::with_changing_limits(listener, watch::channel(limits).1, refuse)
+    }
+
+    /// Creates a server whose limits may change; each connection keeps those it began with.
+    pub fn with_changing_limits(
+        listener: TcpListener,
+        limits: watch::Receiver<Limits>,
+        refuse: RefuseBody,
+    ) -> Self {
         Self { listener, limits, refuse }
     }
 
@@ -73,7 +95,8 @@
         H: Fn(Request<Bytes>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Reply> + Send + 'static,
     {
-        let permits = Arc::new(Semaphore::new(self.limits.connections));
+        let connections = self.limits.borrow().connections;
+        let permits = Arc::new(Semaphore::new(connections));
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
@@ -91,7 +114,7 @@
             };
             let connection = serve_connection(
                 stream,
-                self.limits.clone(),
+                self.limits.borrow().clone(),
                 self.refuse,
                 handler.clone(),
                 stop.clone(),
@@ -103,7 +126,7 @@
             });
         }
         drop(self.listener);
-        let all = u32::try_from(self.limits.connections).unwrap_or(u32::MAX);
+        let all = u32::try_from(connections).unwrap_or(u32::MAX);
         // The semaphore is never closed, so this only waits.
         let _ = permits.acquire_many(all).await;
     }
@@ -122,8 +145,11 @@
 {
     stream.set_nodelay(true)?;
     let (body_limit, read_timeout) = (limits.body, limits.read_timeout);
-    let service = service_fn(move |req: Request<Incoming>| {
+    let first = AtomicBool::new(true);
+    let service = service_fn(move |mut req: Request<Incoming>| {
         let handler = handler.clone();
+        let first_on_connection = first.swap(false, Ordering::Relaxed);
+        req.extensions_mut().insert(Arrival { first_on_connection });
         async move {
             let reply = match read_body(req, body_limit, read_timeout).await {
                 Ok(req) => handler(req).await,
@@ -134,9 +160,10 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(read_timeout)
+        .header_read_timeout(limits.idle_timeout)
+        .auto_date_header(false)
         .max_headers(MAX_HEADERS)
-        .max_buf_size(MAX_HEAD)
+        .max_buf_size(limits.head.max(MIN_HEAD))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
--- /dev/null
+++ b/crates/policy/src/gathering/mod.rs
@@ -0,0 +1,10 @@
+//! One answer from the parts of many shards.
+
+mod patience;
+mod records;
+#[cfg(test)]
+mod tests;
+
+pub use patience::Patience;
+pub use patience::Wait;
+pub use records::TopRecords;
--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -40,3 +40,18 @@
 
 /// Urgency of work: rank 1 goes first.
 pub type Rank = u8;
+
+/// Name of a route of the configuration.
+pub type RouteName = Arc<str>;
+
+/// Name of a service; each shard of an index is a service.
+pub type ServiceId = Arc<str>;
+
+/// Version of the operator's configuration; a newer one is greater.
+pub type ConfigVersion = u64;
+
+/// Identity of one start of a searcher: the Unix milliseconds at which it started.
+pub type SearcherBirth = u64;
+
+/// Revision of the platform's store, which grows with each of its changes.
+pub type StoreRevision = u64;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,11 +6,14 @@
 pub mod admission;
 pub mod attempt;
 pub mod catalogue;
+pub mod directory;
+pub mod gathering;
 pub mod heartbeat;
 pub mod ids;
 pub mod membership;
 pub mod queue;
 pub mod revision;
+pub mod route;
 pub mod routing;
 pub mod ticket;
 pub mod verdict;
--- /dev/null
+++ b/crates/policy/src/routing/health.rs
@@ -0,0 +1,206 @@
+//! What one host has observed of one searcher, and the choice among several.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::ids::RouteName;
+
+/// Weight of the newest latency in the moving averages.
+const NEWEST: f64 = 0.15;
+
+/// Time in which half of a slow searcher's latency is forgotten, so that it is tried again.
+const HALF_LIFE: Duration = Duration::from_secs(4);
+
+/// How many mean deviations above the mean an attempt is overdue.
+const OVERDUE_DEVIATIONS: f64 = 1.5;
+
+/// Shortest time after which an attempt is overdue: timers on the hosts fire some milliseconds
+/// late.
+const MIN_OVERDUE: Duration = Duration::from_millis(4);
+
+/// How many times its expected latency an attempt may take before its searcher is taken to pause.
+const PAUSE_FACTOR: f64 = 2.5;
+
+/// Least time before a searcher is taken to pause.
+const MIN_PAUSE: Duration = Duration::from_millis(12);
+
+/// What a pause is expected to cost a request that is sent into it, in seconds.
+const PAUSE_COST: f64 = 0.1;
+
+/// What sending to another availability zone costs beside its latency, in seconds: bytes between
+/// zones are paid for.
+const REMOTE_COST: f64 = 0.002;
+
+/// How long a searcher is avoided after its first failure; doubled with each further one.
+const FIRST_AVOIDANCE: Duration = Duration::from_millis(400);
+
+/// Longest time for which a searcher is avoided before it is tried again.
+const MAX_AVOIDANCE: Duration = Duration::from_secs(2);
+
+/// How long a searcher is avoided after it refused for lack of room.
+const FULL_AVOIDANCE: Duration = Duration::from_millis(30);
+
+/// Latencies of so many routes are kept for a searcher.
+const MAX_ROUTES: usize = 32;
+
+/// Moving mean and mean deviation of a latency, in seconds.
+#[derive(Debug, Clone, Copy)]
+pub struct LatencyEstimate {
+    mean: f64,
+    deviation: f64,
+    seen: Instant,
+}
+
+impl LatencyEstimate {
+    /// Starts from one latency.
+    pub fn new(latency: Duration, now: Instant) -> Self {
+        let mean = latency.as_secs_f64();
+        Self { mean, deviation: mean / 2.0, seen: now }
+    }
+
+    /// Adds one latency.
+    pub fn record(&mut self, latency: Duration, now: Instant) {
+        let error = latency.as_secs_f64() - self.mean;
+        self.mean += NEWEST * error;
+        self.deviation += NEWEST * (error.abs() - self.deviation);
+        self.seen = now;
+    }
+
+    /// Returns after how long an attempt is overdue.
+    pub fn overdue(&self) -> Duration {
+        Duration::from_secs_f64(self.mean + OVERDUE_DEVIATIONS * self.deviation).max(MIN_OVERDUE)
+    }
+
+    /// Returns the mean, in seconds.
+    pub fn mean(&self) -> f64 {
+        self.mean
+    }
+}
+
+/// What one host has observed of one searcher.
+#[derive(Debug, Default)]
+pub struct SearcherHealth {
+    latencies: BTreeMap<RouteName, LatencyEstimate>,
+    /// When each running attempt was sent.
+    running: Vec<Instant>,
+    failures: u32,
+    avoided_until: Option<Instant>,
+}
+
+impl SearcherHealth {
+    /// Notes that an attempt is sent.
+    pub fn note_sent(&mut self, now: Instant) {
+        self.running.push(now);
+    }
+
+    /// Notes that an attempt sent at `sent` has ended, however it did.
+    pub fn note_ended(&mut self, sent: Instant) {
+        if let Some(at) = self.running.iter().position(|running| *running == sent) {
+            self.running.swap_remove(at);
+        }
+    }
+
+    /// Notes an answer of the searcher.
+    pub fn note_answer(&mut self, route: &RouteName, latency: Duration, now: Instant) {
+        self.failures = 0;
+        self.avoided_until = None;
+        if self.latencies.len() >= MAX_ROUTES && !self.latencies.contains_key(route) {
+            self.latencies.clear();
+        }
+        self.latencies
+            .entry(route.clone())
+            .and_modify(|estimate| estimate.record(latency, now))
+            .or_insert_with(|| LatencyEstimate::new(latency, now));
+    }
+
+    /// Notes an attempt that was given up after `waited`; it would have taken longer.
+    pub fn note_abandoned(&mut self, route: &RouteName, waited: Duration, now: Instant) {
+        if let Some(estimate) = self.latencies.get_mut(route) {
+            if waited.as_secs_f64() > estimate.mean {
+                estimate.record(waited * 2, now);
+            }
+        }
+    }
+
+    /// Notes a failure of the searcher or of its connection. Returns until when it is avoided.
+    pub fn note_failure(&mut self, now: Instant) -> Instant {
+        let avoidance = FIRST_AVOIDANCE * 2_u32.pow(self.failures.min(8));
+        let until = now + avoidance.min(MAX_AVOIDANCE);
+        self.failures += 1;
+        self.avoided_until = Some(until);
+        until
+    }
+
+    /// Notes that the searcher refused for lack of room.
+    pub fn note_full(&mut self, now: Instant) {
+        let until = now + FULL_AVOIDANCE;
+        self.avoided_until = Some(self.avoided_until.map_or(until, |known| known.max(until)));
+    }
+
+    /// Notes that the searcher says it is healthy.
+    pub fn note_recovered(&mut self) {
+        self.failures = 0;
+        self.avoided_until = None;
+    }
+
+    /// Returns whether the searcher failed and it is time to ask whether it is back.
+    pub fn wants_probe(&self, now: Instant) -> bool {
+        self.failures > 0 && self.avoided_until.is_none_or(|until| now >= until)
+    }
+
+    /// Returns how many attempts are running.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns after how long an attempt is overdue, or `None` while nothing is known.
+    pub fn overdue(&self, route: &RouteName) -> Option<Duration> {
+        self.latencies.get(route).map(LatencyEstimate::overdue)
+    }
+
+    /// Returns the expected cost of one more attempt, in seconds; lower is better.
+    pub fn cost(&self, view: &ReplicaView<'_>, now: Instant) -> f64 {
+        let latency = self.expected(view, now);
+        let waiting = (self.running.len() as f64 / f64::from(view.slots.max(1))).floor();
+        let mut cost = latency * (1.0 + waiting);
+        if !view.local {
+            cost += REMOTE_COST;
+        }
+        let oldest = self.running.iter().min();
+        let age = oldest.map_or(0.0, |sent| now.saturating_duration_since(*sent).as_secs_f64());
+        if age > (latency * PAUSE_FACTOR).max(MIN_PAUSE.as_secs_f64()) {
+            cost += PAUSE_COST;
+        }
+        match self.avoided_until {
+            Some(until) if now < until => cost + 10.0,
+            _ if self.failures > 0 => cost + 1.0,
+            _ => cost,
+        }
+    }
+
+    fn expected(&self, view: &ReplicaView<'_>, now: Instant) -> f64 {
+        let prior = view.prior;
+        let Some(estimate) = self.latencies.get(view.route) else {
+            return prior;
+        };
+        if estimate.mean <= prior {
+            return estimate.mean;
+        }
+        let age = now.saturating_duration_since(estimate.seen).as_secs_f64();
+        prior + 0.5_f64.powf(age / HALF_LIFE.as_secs_f64()) * (estimate.mean - prior)
+    }
+}
+
+/// What a choice knows of a searcher beside its health.
+#[derive(Debug, Clone, Copy)]
+pub struct ReplicaView<'a> {
+    /// The route of the request.
+    pub route: &'a RouteName,
+    /// Latency of the route at searchers of which nothing is known, in seconds.
+    pub prior: f64,
+    /// Whether the searcher is in the host's own availability zone.
+    pub local: bool,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+}
--- a/crates/policy/src/routing/mod.rs
+++ b/crates/policy/src/routing/mod.rs
@@ -1,5 +1,7 @@
 //! Where attempts go: owners, replicas, latency estimates, hedges and retry budgets.
 
+mod extra;
+mod health;
 mod hedge;
 mod latency;
 mod ownership;
@@ -8,6 +10,11 @@
 #[cfg(test)]
 mod tests;
 
+pub use extra::ExtraBound;
+pub use extra::ExtraBudget;
+pub use health::LatencyEstimate;
+pub use health::ReplicaView;
+pub use health::SearcherHealth;
 pub use hedge::HedgePolicy;
 pub use latency::LatencyWindow;
 pub use ownership::owner_of;
