Searchers that cannot be reached get nothing until they answer a health request

Cause: every query of a cut zone waited for searchers beyond the cut; and a machine that listed the store anew after a lost history could miss a configuration written between its two reads. Ruled out: the store's watch itself; all machines listed within 10 ms of the loss.

--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -61,7 +61,7 @@
         let healthy = timeout(HEALTH_TIMEOUT, exchange(lease, path)).await.unwrap_or(false);
         match healthy {
             true => lock(&searcher.health).note_recovered(),
-            false => drop(lock(&searcher.health).note_failure(now())),
+            false => lock(&searcher.health).note_unreachable(now()),
         }
         searcher.probed.store(false, Ordering::Relaxed);
     });
--- a/crates/edge/src/query/attempt.rs
+++ b/crates/edge/src/query/attempt.rs
@@ -9,6 +9,7 @@
 use galenaloft_adapter::searcher::Refusal;
 use galenaloft_adapter::searcher::SearcherAnswer;
 use galenaloft_adapter::searcher::SearcherReply;
+use galenaloft_policy::route::Target;
 use galenaloft_policy::verdict::Verdict;
 use tokio::time::timeout;
 
@@ -18,8 +19,15 @@
 use crate::searchers::Lease;
 use crate::sync::lock;
 
+/// A searcher that takes so many times the usual latency of a route has stopped answering; slow ones
+/// take up to twelve times as long.
+const SILENCE_FACTOR: u32 = 15;
+
+/// Least silence after which a searcher is given up: pauses last some 100 ms.
+const MIN_SILENCE: Duration = Duration::from_millis(250);
+
 /// How long an attempt whose answer is no longer needed may go on, so that its connection is kept.
-const LEFTOVER_TIME: Duration = Duration::from_millis(300);
+const LEFTOVER_TIME: Duration = Duration::from_millis(400);
 
 /// Why an attempt gave no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,6 +49,17 @@
     Box::pin(run(host.clone(), plan.clone(), lease))
 }
 
+/// Returns after how long a searcher that keeps silent is given up, or `None` for requests that
+/// only one searcher may have: those wait for as long as their caller does.
+fn silence(host: &Host, plan: &Plan) -> Option<Duration> {
+    let Target::Gather(_) = plan.route.target else {
+        return None;
+    };
+    let expected = host.latency(&plan.route, now()).mean();
+    let slow = Duration::from_secs_f64(expected) * SILENCE_FACTOR;
+    Some(slow.max(MIN_SILENCE))
+}
+
 /// Lets attempts go on for a while whose answers are no longer needed.
 pub fn let_finish<F: Future<Output = ()> + Send + 'static>(rest: F) {
     tokio::spawn(async move {
@@ -58,7 +77,7 @@
     let connection = match lease.connection().await {
         Ok(connection) => connection,
         Err(_) => {
-            lock(&searcher.health).note_failure(now());
+            lock(&searcher.health).note_unreachable(now());
             return failed(Verdict::NotRun, "connect_failed");
         }
     };
@@ -68,9 +87,14 @@
         return failed(Verdict::NotRun, "expired");
     }
     let req = searcher::request(&plan.call, &searcher.entry.id, left);
-    let reply = match connection.send_request(req).await {
-        Ok(reply) => reply,
-        Err(e) => {
+    let patience = silence(&host, &plan).map_or(left, |silence| silence.min(left));
+    let reply = match timeout(patience, connection.send_request(req)).await {
+        Ok(Ok(reply)) => reply,
+        Err(_) => {
+            lock(&searcher.health).note_unreachable(now());
+            return failed(Verdict::MayHaveRun, "silent");
+        }
+        Ok(Err(e)) => {
             let present = now();
             if !e.may_be_received() {
                 return failed(Verdict::NotRun, "not_sent");
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -185,7 +185,7 @@
             return;
         }
         if let Choice::Searcher(searcher) = self.choose(present) {
-            if lock(&self.service.budget).spend() {
+            if !searcher.is_suspect() && lock(&self.service.budget).spend() {
                 self.send(&searcher, present);
             }
         }
--- a/crates/edge/src/searchers/fleet.rs
+++ b/crates/edge/src/searchers/fleet.rs
@@ -57,7 +57,7 @@
         let mut best: Option<(f64, &Arc<Searcher>)> = None;
         let mut full = false;
         for searcher in searchers.iter() {
-            if searcher.is_draining() || tried.contains(&searcher.entry.id) {
+            if !searcher.is_usable() || tried.contains(&searcher.entry.id) {
                 continue;
             }
             if !searcher.has_room(limit) {
--- a/crates/edge/src/searchers/searcher.rs
+++ b/crates/edge/src/searchers/searcher.rs
@@ -74,6 +74,16 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Returns whether requests may be sent to it.
+    pub fn is_usable(&self) -> bool {
+        !self.is_draining() && !lock(&self.health).is_unreachable()
+    }
+
+    /// Returns whether it failed and has not answered since.
+    pub fn is_suspect(&self) -> bool {
+        lock(&self.health).is_suspect()
+    }
+
     /// Notes that it is leaving; nothing takes that back.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
--- a/crates/edge/src/store/reader.rs
+++ b/crates/edge/src/store/reader.rs
@@ -8,6 +8,7 @@
 use galenaloft_adapter::store::StoreClient;
 use galenaloft_adapter::store::StoreError;
 use galenaloft_adapter::store::Update;
+use galenaloft_policy::directory::Change;
 use galenaloft_policy::directory::Directory;
 use galenaloft_policy::ids::StoreRevision;
 use galenaloft_telemetry::log::Event;
@@ -50,24 +51,13 @@
 
 impl Reader {
     async fn step(&mut self) -> Result<(), StoreError> {
+        if self.revision == 0 {
+            return self.list().await;
+        }
         if self.host.config().is_none() {
             let update = self.client.configuration().await?;
             self.adopt(update, now());
         }
-        if self.revision == 0 {
-            let update = self.client.searchers().await?;
-            let present = now();
-            self.directory.note_store_answer(present);
-            self.revision = update.revision;
-            let entries = update.searchers.iter().filter_map(|change| match change {
-                galenaloft_policy::directory::Change::Written(entry) => Some(entry.clone()),
-                galenaloft_policy::directory::Change::Removed(_) => None,
-            });
-            let changed = self.directory.replace(entries.collect(), present);
-            self.publish(changed);
-            self.host.listed.store(true, Ordering::Relaxed);
-            return Ok(());
-        }
         match self.client.changes(self.revision).await {
             Ok(update) => {
                 let present = now();
@@ -79,21 +69,36 @@
             Err(StoreError::HistoryGone) => {
                 Event::new("store_history_gone").with("revision", self.revision).info();
                 self.revision = 0;
-                let update = self.client.configuration().await?;
-                self.adopt(update, now());
                 Err(StoreError::HistoryGone)
             }
             Err(e) => Err(e),
         }
     }
 
+    /// Reads everything anew. What changes meanwhile is read again as a change, since the changes
+    /// are followed from the revision of the first answer on.
+    async fn list(&mut self) -> Result<(), StoreError> {
+        let config = self.client.configuration().await?;
+        let first = config.revision;
+        self.adopt(config, now());
+        let listing = self.client.searchers().await?;
+        let present = now();
+        self.directory.note_store_answer(present);
+        let revision = if first == 0 { listing.revision } else { first };
+        note_unreadable(&listing);
+        let entries = listing.searchers.into_iter().filter_map(|change| match change {
+            Change::Written(entry) => Some(entry),
+            Change::Removed(_) => None,
+        });
+        let changed = self.directory.replace(entries.collect(), present);
+        self.publish(changed);
+        self.revision = revision;
+        self.host.listed.store(true, Ordering::Relaxed);
+        Ok(())
+    }
+
     fn adopt(&mut self, update: Update, now: Instant) {
-        for item in &update.unreadable {
-            Event::new("store_item_unreadable")
-                .with("item", &item.item)
-                .with("why", &item.why)
-                .warn();
-        }
+        note_unreadable(&update);
         if let Some(config) = update.configuration {
             let version = config.version;
             if self.host.adopt(config) {
@@ -137,3 +142,9 @@
         }
     }
 }
+
+fn note_unreadable(update: &Update) {
+    for item in &update.unreadable {
+        Event::new("store_item_unreadable").with("item", &item.item).with("why", &item.why).warn();
+    }
+}
--- a/crates/policy/src/routing/health.rs
+++ b/crates/policy/src/routing/health.rs
@@ -32,11 +32,15 @@
 /// zones are paid for.
 const REMOTE_COST: f64 = 0.002;
 
-/// How long a searcher is avoided after its first failure; doubled with each further one.
-const FIRST_AVOIDANCE: Duration = Duration::from_millis(400);
+/// How long a searcher is avoided after its first failure, and how long before it is asked for its
+/// health; doubled with each further failure.
+const FIRST_AVOIDANCE: Duration = Duration::from_millis(300);
 
-/// Longest time for which a searcher is avoided before it is tried again.
-const MAX_AVOIDANCE: Duration = Duration::from_secs(2);
+/// Longest time for which a searcher is avoided before it is asked for its health.
+const MAX_AVOIDANCE: Duration = Duration::from_secs(1);
+
+/// Cost of a searcher that failed a moment ago, in seconds: any other one is better.
+const AVOIDED_COST: f64 = 10.0;
 
 /// How long a searcher is avoided after it refused for lack of room.
 const FULL_AVOIDANCE: Duration = Duration::from_millis(30);
@@ -86,6 +90,7 @@
     running: Vec<Instant>,
     failures: u32,
     avoided_until: Option<Instant>,
+    unreachable: bool,
 }
 
 impl SearcherHealth {
@@ -103,8 +108,7 @@
 
     /// Notes an answer of the searcher.
     pub fn note_answer(&mut self, route: &RouteName, latency: Duration, now: Instant) {
-        self.failures = 0;
-        self.avoided_until = None;
+        self.note_recovered();
         if self.latencies.len() >= MAX_ROUTES && !self.latencies.contains_key(route) {
             self.latencies.clear();
         }
@@ -123,13 +127,28 @@
         }
     }
 
-    /// Notes a failure of the searcher or of its connection. Returns until when it is avoided.
-    pub fn note_failure(&mut self, now: Instant) -> Instant {
+    /// Notes a bad answer or a connection that was lost: others are preferred for a while.
+    pub fn note_failure(&mut self, now: Instant) {
         let avoidance = FIRST_AVOIDANCE * 2_u32.pow(self.failures.min(8));
-        let until = now + avoidance.min(MAX_AVOIDANCE);
         self.failures += 1;
-        self.avoided_until = Some(until);
-        until
+        self.avoided_until = Some(now + avoidance.min(MAX_AVOIDANCE));
+    }
+
+    /// Notes that the searcher cannot be reached or keeps silent: it gets no request until it
+    /// answers a health request.
+    pub fn note_unreachable(&mut self, now: Instant) {
+        self.note_failure(now);
+        self.unreachable = true;
+    }
+
+    /// Returns whether the searcher gets no requests.
+    pub fn is_unreachable(&self) -> bool {
+        self.unreachable
+    }
+
+    /// Returns whether the searcher failed and has not answered since.
+    pub fn is_suspect(&self) -> bool {
+        self.failures > 0
     }
 
     /// Notes that the searcher refused for lack of room.
@@ -141,6 +160,7 @@
     /// Notes that the searcher says it is healthy.
     pub fn note_recovered(&mut self) {
         self.failures = 0;
+        self.unreachable = false;
         self.avoided_until = None;
     }
 
@@ -173,8 +193,7 @@
             cost += PAUSE_COST;
         }
         match self.avoided_until {
-            Some(until) if now < until => cost + 10.0,
-            _ if self.failures > 0 => cost + 1.0,
+            Some(until) if now < until => cost + AVOIDED_COST,
             _ => cost,
         }
     }
