--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -12,8 +12,11 @@
 
 use galenaloft_config::edge::EdgeSettings;
 use galenaloft_http::Limits;
+use galenaloft_policy::directory::Revised;
+use galenaloft_policy::ids::ConfigVersion;
 use galenaloft_policy::ids::RouteName;
 use galenaloft_policy::ids::ServiceId;
+use galenaloft_policy::ids::StoreRevision;
 use galenaloft_policy::route::Configuration;
 use galenaloft_policy::route::Route;
 use galenaloft_policy::route::Split;
@@ -21,21 +24,33 @@
 use galenaloft_policy::routing::LatencyEstimate;
 use tokio::sync::watch;
 
+use crate::clock::now;
+use crate::peers::Knowledge;
+use crate::peers::Peers;
+use crate::peers::Relays;
 use crate::searchers::Fleet;
 use crate::sync::lock;
 
 /// Connections that callers may open; the platform gives a process some thousand descriptors.
 const CALLER_CONNECTIONS: usize = 2_000;
 
-/// Hosts among which connections and budgets are shared out while their number is unknown.
-const ASSUMED_HOSTS: usize = 8;
-
 /// Part of its objective that a request is expected to take at a searcher while nothing is known.
 const FIRST_ESTIMATE: u32 = 6;
 
 /// Latencies of so many routes are kept.
 const MAX_ROUTES: usize = 64;
 
+/// The searchers that the store listed at some time.
+#[derive(Debug, Clone)]
+pub struct Known {
+    /// Each with its revision.
+    pub searchers: Vec<Revised>,
+    /// Revision up to which changes are known.
+    pub revision: StoreRevision,
+    /// When that was the newest.
+    pub at: Instant,
+}
+
 /// State of one edge host.
 #[derive(Debug)]
 pub struct Host {
@@ -45,6 +60,12 @@
     pub settings_file: PathBuf,
     /// The searchers.
     pub fleet: Fleet,
+    /// The other hosts.
+    pub peers: Peers,
+    /// Calls to the other hosts.
+    pub relays: Relays,
+    /// What is known of the store, for hosts that ask.
+    pub known: Mutex<Option<Known>>,
     config: Mutex<Option<Arc<Configuration>>>,
     /// Bounds on callers, by the configuration.
     pub limits: watch::Sender<Limits>,
@@ -60,8 +81,11 @@
 
 impl Host {
     /// Creates the state of a host that knows nothing yet.
-    pub fn new(settings: EdgeSettings, settings_file: PathBuf) -> Self {
+    pub fn new(settings: EdgeSettings, settings_file: PathBuf, incarnation: u64) -> Self {
         Self {
+            peers: Peers::new(&settings, incarnation),
+            relays: Relays::default(),
+            known: Mutex::default(),
             fleet: Fleet::new(settings.zone.clone()),
             settings,
             settings_file,
@@ -114,7 +138,23 @@
 
     /// Returns among how many hosts connections and budgets are shared out.
     pub fn hosts(&self) -> usize {
-        ASSUMED_HOSTS
+        self.peers.count(now())
+    }
+
+    /// Returns the version of the configuration in force, 0 without one.
+    pub fn config_version(&self) -> ConfigVersion {
+        lock(&self.config).as_ref().map_or(0, |config| config.version)
+    }
+
+    /// Returns what this host knows of the store, if it knows anything.
+    pub fn knowledge(&self) -> Option<Knowledge> {
+        let known = lock(&self.known).clone()?;
+        Some(Knowledge {
+            config: self.config().map(|config| (*config).clone()),
+            searchers: known.searchers,
+            revision: known.revision,
+            age: now().saturating_duration_since(known.at),
+        })
     }
 
     /// Returns the service for the next request of a route with weighted services.
@@ -130,7 +170,7 @@
         }
         latencies
             .entry(route.clone())
-            .and_modify(|estimate| estimate.record(latency, now))
+            .and_modify(|estimate| estimate.record_usual(latency, now))
             .or_insert_with(|| LatencyEstimate::new(latency, now));
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -2,12 +2,13 @@
 //!
 //! A request passes `front` (the caller's side), `query` (one searcher, or all shards), `searchers`
 //! (choice of a searcher, its connections) and back. `store` keeps the configuration and the list
-//! of searchers up to date.
+//! of searchers up to date; `peers` shares that with the other hosts.
 
 mod clock;
 mod error;
 mod front;
 mod host;
+mod peers;
 mod probe;
 mod query;
 mod readiness;
--- /dev/null
+++ b/crates/edge/src/peers/members.rs
@@ -0,0 +1,177 @@
+//! What this host believes of the others.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use galenaloft_config::edge::EdgeSettings;
+use galenaloft_policy::ids::HostId;
+use galenaloft_policy::ids::ZoneId;
+use galenaloft_policy::membership::Change;
+use galenaloft_policy::membership::HostFact;
+use galenaloft_policy::membership::HostState;
+use galenaloft_policy::membership::MemberTable;
+use galenaloft_telemetry::log::Event;
+
+use crate::peers::StoreNews;
+use crate::sync::lock;
+
+/// Fewest hosts among which connections and budgets are shared out: a host that has just started
+/// knows of none.
+const MIN_HOSTS: usize = 8;
+
+/// How long a host counts after it was last heard of: one beyond a partition still holds its
+/// connections.
+const COUNTED: Duration = Duration::from_secs(20);
+
+/// With more hosts than this, each availability zone reads the store for itself, so that the
+/// messages of one host do not grow with the fleet.
+const MAX_SHARED: usize = 16;
+
+/// The other hosts.
+#[derive(Debug)]
+pub struct Peers {
+    /// Membership as believed by this host.
+    pub table: Mutex<MemberTable>,
+    /// When each host was last heard of.
+    heard: Mutex<BTreeMap<HostId, Instant>>,
+    /// Addresses that are asked while none of them is known as a host.
+    seeds: Vec<SocketAddr>,
+    outbox: Mutex<Option<StoreNews>>,
+    /// Wakes the task that sends what is in the outbox.
+    pub to_send: tokio::sync::Notify,
+}
+
+impl Peers {
+    /// Creates the beliefs of a host that knows only its seeds. Every host has the same port.
+    pub fn new(settings: &EdgeSettings, incarnation: u64) -> Self {
+        let address = settings.listen.peers;
+        let own = HostFact {
+            host: settings.host.clone(),
+            zone: settings.zone.clone(),
+            address,
+            incarnation,
+            generation: incarnation,
+            state: HostState::Alive,
+            adopted: Vec::new(),
+        };
+        let others = settings.seeds.iter().map(SocketAddr::ip).filter(|ip| *ip != address.ip());
+        Self {
+            table: Mutex::new(MemberTable::new(own)),
+            heard: Mutex::default(),
+            seeds: others.map(|ip: IpAddr| SocketAddr::new(ip, address.port())).collect(),
+            outbox: Mutex::new(None),
+            to_send: tokio::sync::Notify::new(),
+        }
+    }
+
+    /// Learns facts, of which the first is about the sender.
+    pub fn learn(&self, facts: Vec<HostFact>, now: Instant) {
+        let mut table = lock(&self.table);
+        if let Some(sender) = facts.first() {
+            lock(&self.heard).insert(sender.host.clone(), now);
+        }
+        for fact in facts {
+            let change = table.learn(fact, now);
+            log_changes(change);
+        }
+    }
+
+    /// Returns whether a host was heard of since `then`.
+    pub fn heard_since(&self, host: &HostId, then: Instant) -> bool {
+        lock(&self.heard).get(host).is_some_and(|at| *at >= then)
+    }
+
+    /// Returns the seeds that are not known as hosts.
+    pub fn unknown_seeds(&self) -> Vec<SocketAddr> {
+        let table = lock(&self.table);
+        let known = |seed: &&SocketAddr| table.facts().any(|fact| fact.address == **seed);
+        self.seeds.iter().filter(|seed| !known(seed)).copied().collect()
+    }
+
+    /// Returns how many hosts, this one included, share connections and budgets.
+    pub fn count(&self, now: Instant) -> usize {
+        let heard = lock(&self.heard);
+        let recent = heard.values().filter(|at| now.saturating_duration_since(**at) < COUNTED);
+        (recent.count() + 1).max(MIN_HOSTS)
+    }
+
+    /// Returns how many hosts read the store before this one does.
+    pub fn rank(&self) -> usize {
+        let table = lock(&self.table);
+        let own = table.own();
+        let all = table.working().count();
+        let shares = |fact: &&HostFact| all <= MAX_SHARED || fact.zone == own.zone;
+        let before = table.working().filter(shares).filter(|fact| fact.host < own.host);
+        before.filter(|fact| fact.state == HostState::Alive).count()
+    }
+
+    /// Returns the hosts that hear what this one reads.
+    pub fn listeners(&self) -> Vec<SocketAddr> {
+        let table = lock(&self.table);
+        let own = table.own();
+        let all = table.working().count();
+        let shares = |fact: &&HostFact| all <= MAX_SHARED || fact.zone == own.zone;
+        let others = table.working().filter(|fact| fact.host != own.host).filter(shares);
+        others.map(|fact| fact.address).collect()
+    }
+
+    /// Returns the live hosts of an availability zone.
+    pub fn of_zone(&self, zone: &ZoneId) -> Vec<(HostId, SocketAddr)> {
+        let table = lock(&self.table);
+        let own = table.own().host.clone();
+        let alive = table.working().filter(|f| f.state == HostState::Alive && f.host != own);
+        let there = alive.filter(|fact| fact.zone == *zone);
+        there.map(|fact| (fact.host.clone(), fact.address)).collect()
+    }
+
+    /// Returns live hosts to ask for what they know, those of the own zone first.
+    pub fn to_ask(&self) -> Vec<SocketAddr> {
+        let table = lock(&self.table);
+        let own = table.own();
+        let mut alive: Vec<&HostFact> = table
+            .working()
+            .filter(|fact| fact.state == HostState::Alive && fact.host != own.host)
+            .collect();
+        alive.sort_by_key(|fact| fact.zone != own.zone);
+        alive.iter().map(|fact| fact.address).collect()
+    }
+
+    /// Puts news of the store where the task that sends datagrams finds it.
+    pub fn publish(&self, news: StoreNews) {
+        let mut outbox = lock(&self.outbox);
+        *outbox = Some(match outbox.take() {
+            Some(mut earlier) if earlier.revision == news.after => {
+                earlier.changes.extend(news.changes);
+                StoreNews { revision: news.revision, ..earlier }
+            }
+            _ => news,
+        });
+        self.to_send.notify_one();
+    }
+
+    /// Takes the news that is to be sent.
+    pub fn take_news(&self) -> Option<StoreNews> {
+        lock(&self.outbox).take()
+    }
+
+    /// States that this host is stopping.
+    pub fn leave(&self) {
+        lock(&self.table).update_own(HostState::Leaving, Vec::new());
+        self.to_send.notify_one();
+    }
+}
+
+/// Logs what changed in the beliefs on hosts.
+pub(super) fn log_changes(changes: impl IntoIterator<Item = Change>) {
+    for change in changes {
+        Event::new("host_changed")
+            .with("host", &change.host)
+            .with("old", change.old.map_or("unknown".to_owned(), |old| format!("{old:?}")))
+            .with("new", format!("{:?}", change.new))
+            .info();
+    }
+}
--- /dev/null
+++ b/crates/edge/src/peers/mod.rs
@@ -0,0 +1,17 @@
+//! The other edge hosts: which there are, what they tell of the store, and queries through them.
+
+mod gossip;
+mod members;
+mod messages;
+mod relay;
+mod service;
+
+pub use gossip::run;
+pub use members::Peers;
+pub use messages::GroupQuery;
+pub use messages::GroupReply;
+pub use messages::Knowledge;
+pub use messages::StoreNews;
+pub use relay::Relay;
+pub use relay::Relays;
+pub use service::serve;
--- a/crates/edge/src/query/gather.rs
+++ b/crates/edge/src/query/gather.rs
@@ -1,13 +1,19 @@
 //! Queries over many shards.
 
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 
 use futures::stream::FuturesUnordered;
 use futures::stream::StreamExt;
 use galenaloft_adapter::caller::Answer;
 use galenaloft_adapter::searcher::SearcherAnswer;
+use galenaloft_adapter::searcher::Signature;
 use galenaloft_policy::gathering::Patience;
 use galenaloft_policy::gathering::TopRecords;
 use galenaloft_policy::gathering::Wait;
@@ -16,76 +22,294 @@
 use crate::clock::now;
 use crate::clock::sleep_until;
 use crate::host::Host;
+use crate::peers::GroupReply;
 use crate::query::Plan;
 use crate::query::attempt;
+use crate::query::group;
+use crate::query::group::Group;
 use crate::query::shard::Missed;
 use crate::query::shard::ShardQuery;
 
-use std::time::Duration;
-
 /// Time to merge the parts and to write the answer.
 const MERGE_TIME: Duration = Duration::from_millis(4);
 
 /// When a caller that got no answer may come back.
 const BACK_AFTER: Duration = Duration::from_millis(300);
 
-/// Asks one searcher of each shard and merges the parts that come in time.
-pub async fn gather(host: &Arc<Host>, plan: &Arc<Plan>, gather: &Gather) -> Answer {
-    let over = Arc::new(AtomicBool::new(false));
-    let mut running: FuturesUnordered<_> = gather
-        .shards
-        .iter()
-        .map(|shard| {
-            let mut query = ShardQuery::new(host, plan, shard, &over);
-            async move {
-                let part = query.run(is_part).await;
-                (part, query.may_have_run())
+/// What one task of a query brings.
+enum Done {
+    /// One shard, whose request may have run even if it gave no part.
+    Shard { index: usize, part: Result<SearcherAnswer, Missed>, may_have_run: bool },
+    /// A group of shards through a peer.
+    Group { group: Group, reply: Result<GroupReply, &'static str> },
+}
+
+type Task = Pin<Box<dyn Future<Output = Done> + Send>>;
+
+/// Parts that a peer merged.
+struct Merged {
+    signatures: Vec<Signature>,
+    records: Vec<u8>,
+}
+
+/// The parts of one query as they come in.
+pub struct Gathering<'a> {
+    host: &'a Arc<Host>,
+    plan: &'a Arc<Plan>,
+    gather: &'a Gather,
+    over: Arc<AtomicBool>,
+    running: FuturesUnordered<Task>,
+    /// Shards that are asked directly, or through a peer, and have not ended.
+    open: usize,
+    /// Parts that came directly.
+    direct: BTreeMap<usize, SearcherAnswer>,
+    /// Parts that came through peers.
+    merged: Vec<Merged>,
+    /// Shards whose part came through a peer.
+    through_peers: Vec<bool>,
+    /// Groups whose peer has not answered, with the time when it is overdue.
+    waiting: Vec<(Group, Instant)>,
+    /// Shards that a peer's answer left out.
+    left_out: Vec<usize>,
+    may_have_run: bool,
+}
+
+impl<'a> Gathering<'a> {
+    /// Prepares a query; nothing is sent yet.
+    pub fn new(host: &'a Arc<Host>, plan: &'a Arc<Plan>, gather: &'a Gather) -> Self {
+        Self {
+            host,
+            plan,
+            gather,
+            over: Arc::new(AtomicBool::new(false)),
+            running: FuturesUnordered::new(),
+            open: 0,
+            direct: BTreeMap::new(),
+            merged: Vec::new(),
+            through_peers: vec![false; gather.shards.len()],
+            waiting: Vec::new(),
+            left_out: Vec::new(),
+            may_have_run: false,
+        }
+    }
+
+    /// Asks one searcher of every shard directly.
+    pub fn ask_directly(&mut self) {
+        for index in 0..self.gather.shards.len() {
+            self.ask_shard(index, false);
+        }
+    }
+
+    /// Asks shards without a searcher in the own zone through hosts of theirs, others directly.
+    pub fn ask_by_zone(&mut self, objective: Instant) {
+        let present = now();
+        let mut direct = vec![true; self.gather.shards.len()];
+        for group in group::plan(self.host, self.plan, self.gather, present) {
+            group.shards.iter().for_each(|index| direct[*index] = false);
+            self.ask_group(group, objective, present);
+        }
+        for (index, direct) in direct.into_iter().enumerate() {
+            if direct {
+                self.ask_shard(index, false);
             }
-        })
-        .collect();
-    let patience = patience(host, plan);
-    let min_parts = gather.min_parts();
-    let mut records = TopRecords::new(gather.top_records);
-    let mut signatures = Vec::with_capacity(gather.shards.len());
-    let mut open = gather.shards.len();
-    let mut ran = false;
-    let expired = loop {
-        if running.is_empty() || signatures.len() + open < min_parts {
-            break false;
-        }
-        let until = match patience.decide(signatures.len(), min_parts, now()) {
-            Wait::Until(until) => until,
-            Wait::Answer => break false,
-            Wait::GiveUp => break true,
-        };
-        tokio::select! {
-            biased;
-            Some((part, may_have_run)) = running.next() => {
-                open -= 1;
-                ran |= may_have_run;
+        }
+    }
+
+    /// Collects parts until all are there, or patience says to stop. Returns whether the time for
+    /// any answer is over.
+    pub async fn collect(&mut self, patience: &Patience, min_parts: usize) -> bool {
+        loop {
+            let parts = self.parts();
+            if parts + self.open < min_parts {
+                self.ask_left_out();
+            }
+            if self.running.is_empty() || parts + self.open < min_parts {
+                return false;
+            }
+            if parts == self.gather.shards.len() {
+                return false;
+            }
+            let present = now();
+            let until = match patience.decide(parts, min_parts, present) {
+                Wait::Until(until) => until,
+                Wait::Answer => return false,
+                Wait::GiveUp => return true,
+            };
+            let overdue = self.waiting.iter().map(|(_, at)| *at).min();
+            tokio::select! {
+                biased;
+                Some(done) = self.running.next() => self.note(done),
+                () = sleep_until(overdue.map_or(until, |at| at.min(until))) => {
+                    self.bypass_overdue(now());
+                }
+            }
+        }
+    }
+
+    /// Returns how many shards are in.
+    pub fn parts(&self) -> usize {
+        let through_peers = self.through_peers.iter().filter(|there| **there).count();
+        let direct = self.direct.keys().filter(|index| !self.through_peers[**index]).count();
+        through_peers + direct
+    }
+
+    /// Ends the query: what still runs may end by itself. Returns signatures and records of the
+    /// parts that are in, each direct part with the index of its shard.
+    pub fn finish(mut self) -> (Vec<Signature>, Vec<u8>) {
+        self.leave_rest();
+        let mut records = TopRecords::new(self.gather.top_records);
+        let mut signatures = Vec::with_capacity(self.gather.shards.len());
+        for merged in self.merged {
+            records.add(&merged.records);
+            signatures.extend(merged.signatures);
+        }
+        for (index, answer) in self.direct {
+            if !self.through_peers[index] {
+                records.add(&answer.body);
+                signatures.push(answer.signature);
+            }
+        }
+        (signatures, records.finish())
+    }
+
+    /// Ends the query of a group, of which every part came directly.
+    pub fn finish_group(mut self) -> GroupReply {
+        self.leave_rest();
+        let mut records = TopRecords::new(self.gather.top_records);
+        let mut parts = Vec::with_capacity(self.direct.len());
+        for (index, answer) in self.direct {
+            records.add(&answer.body);
+            parts.push((index as u32, answer.signature.as_bytes().to_vec()));
+        }
+        GroupReply { parts, records: records.finish() }
+    }
+
+    /// Returns whether some searcher may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run || !self.running.is_empty()
+    }
+
+    fn leave_rest(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
+        let running = std::mem::take(&mut self.running);
+        if !running.is_empty() {
+            attempt::let_finish(running.for_each(|_| async {}));
+        }
+    }
+
+    fn ask_shard(&mut self, index: usize, extra: bool) {
+        let service = &self.gather.shards[index];
+        let mut query = ShardQuery::new(self.host, self.plan, service, &self.over);
+        if extra && !query.spend_extra() {
+            return;
+        }
+        self.open += 1;
+        self.running.push(Box::pin(async move {
+            let part = query.run(is_part).await;
+            Done::Shard { index, part, may_have_run: query.may_have_run() }
+        }));
+    }
+
+    fn ask_group(&mut self, group: Group, objective: Instant, present: Instant) {
+        self.open += group.shards.len();
+        self.waiting.push((group.clone(), group.overdue_at(self.host, self.plan, present)));
+        let query = group.query(self.plan, self.gather, objective, present);
+        let (host, plan) = (self.host.clone(), self.plan.clone());
+        self.running.push(Box::pin(async move {
+            let reply = host.relays.gather(&group.relay, &plan.route, query).await;
+            Done::Group { group, reply }
+        }));
+    }
+
+    fn note(&mut self, done: Done) {
+        match done {
+            Done::Shard { index, part, may_have_run } => {
+                self.open -= 1;
+                self.may_have_run |= may_have_run;
                 match part {
-                    Ok(answer) if is_part(&answer) && !signatures.contains(&answer.signature) => {
-                        ran = true;
-                        records.add(&answer.body);
-                        signatures.push(answer.signature);
+                    Ok(answer) if is_part(&answer) => {
+                        self.may_have_run = true;
+                        self.direct.insert(index, answer);
                     }
-                    Ok(_) => ran = true,
+                    Ok(_) => self.may_have_run = true,
                     Err(Missed::Failed(_) | Missed::Expired | Missed::NoSearcher) => {}
                 }
             }
-            () = sleep_until(until) => {}
+            Done::Group { group, reply } => {
+                self.open -= group.shards.len();
+                self.may_have_run = true;
+                let waited = self.waiting.iter().position(|(waiting, _)| *waiting == group);
+                let still_waiting = waited.map(|at| self.waiting.swap_remove(at)).is_some();
+                match reply {
+                    Ok(reply) => self.add_group(&group, reply),
+                    Err(_) if still_waiting => self.bypass(&group),
+                    Err(_) => {}
+                }
+            }
         }
-    };
-    over.store(true, Ordering::Relaxed);
-    ran |= !running.is_empty();
-    if !running.is_empty() {
-        attempt::let_finish(running.for_each(|_| async {}));
     }
-    if signatures.len() >= min_parts {
+
+    fn add_group(&mut self, group: &Group, reply: GroupReply) {
+        let there: Vec<usize> = reply.parts.iter().map(|(place, _)| *place as usize).collect();
+        for (place, index) in group.shards.iter().enumerate() {
+            if !there.contains(&place) && !self.direct.contains_key(index) {
+                self.left_out.push(*index);
+            }
+        }
+        let mut signatures = Vec::with_capacity(reply.parts.len());
+        for (place, signature) in reply.parts {
+            let index = group.shards.get(place as usize).copied();
+            let signature = Signature::from_bytes(&signature).ok();
+            let (Some(index), Some(signature)) = (index, signature) else {
+                return;
+            };
+            self.through_peers[index] = true;
+            signatures.push(signature);
+        }
+        self.merged.push(Merged { signatures, records: reply.records });
+    }
+
+    /// Asks directly for the shards of peers that are overdue.
+    fn bypass_overdue(&mut self, now: Instant) {
+        let waiting = std::mem::take(&mut self.waiting);
+        for (group, at) in waiting {
+            if now < at {
+                self.waiting.push((group, at));
+                continue;
+            }
+            self.host.relays.note_overdue(&group.relay, now);
+            self.bypass(&group);
+        }
+    }
+
+    /// Asks directly for shards that peers left out, which an answer cannot do without.
+    fn ask_left_out(&mut self) {
+        for index in std::mem::take(&mut self.left_out) {
+            self.ask_shard(index, true);
+        }
+    }
+
+    fn bypass(&mut self, group: &Group) {
+        for index in &group.shards {
+            self.ask_shard(*index, true);
+        }
+    }
+}
+
+/// Asks one searcher of each shard and merges the parts that come in time.
+pub async fn gather(host: &Arc<Host>, plan: &Arc<Plan>, gather: &Gather) -> Answer {
+    let patience = patience(host, plan);
+    let min_parts = gather.min_parts();
+    let mut gathering = Gathering::new(host, plan, gather);
+    gathering.ask_by_zone(patience.objective());
+    let expired = gathering.collect(&patience, min_parts).await;
+    let parts = gathering.parts();
+    if parts >= min_parts {
+        let (signatures, records) = gathering.finish();
         let missing = gather.shards.len() - signatures.len();
-        return Answer::Gathered { signatures, missing, records: records.finish() };
+        return Answer::Gathered { signatures, missing, records };
     }
-    match (ran, expired) {
+    match (gathering.may_have_run(), expired) {
         (false, _) => Answer::Refused(BACK_AFTER),
         (true, true) => Answer::TimedOut,
         (true, false) => Answer::Lost("too few shards answered"),
--- /dev/null
+++ b/crates/edge/src/query/group.rs
@@ -0,0 +1,150 @@
+//! Groups of shards whose searchers are in another availability zone, asked through a host there.
+//!
+//! One merged answer crosses between the zones instead of one part a shard.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use galenaloft_adapter::caller::CallerRequest;
+use galenaloft_policy::gathering::Patience;
+use galenaloft_policy::ids::ZoneId;
+use galenaloft_policy::route::Gather;
+use galenaloft_policy::route::Route;
+use galenaloft_policy::route::Target;
+
+use crate::clock::now;
+use crate::host::Host;
+use crate::peers::GroupQuery;
+use crate::peers::GroupReply;
+use crate::peers::Relay;
+use crate::query::Plan;
+use crate::query::gather::Gathering;
+
+/// Fewest shards that are worth a call to a peer.
+const MIN_GROUP: usize = 3;
+
+/// Time that a peer's answer needs to be read and merged, and its way back.
+const WAY_BACK: Duration = Duration::from_millis(5);
+
+/// Part of the time to the objective after which a peer that has not answered is passed over.
+const PATIENCE_PART: f64 = 0.45;
+
+/// Shards that are asked through one peer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Group {
+    /// The peer.
+    pub relay: Relay,
+    /// Index of each shard in the query.
+    pub shards: Vec<usize>,
+}
+
+/// Groups the shards that have no sound searcher in the own zone by a zone that has.
+pub fn plan(host: &Host, plan: &Plan, gather: &Gather, now: Instant) -> Vec<Group> {
+    let mut remote: BTreeMap<usize, Vec<ZoneId>> = BTreeMap::new();
+    for (index, shard) in gather.shards.iter().enumerate() {
+        let zones = host.fleet.service(shard).zones();
+        if !zones.contains(&host.settings.zone) {
+            remote.insert(index, zones);
+        }
+    }
+    let mut groups = Vec::new();
+    while remote.len() >= MIN_GROUP {
+        let mut counts: BTreeMap<&ZoneId, usize> = BTreeMap::new();
+        for zone in remote.values().flatten() {
+            *counts.entry(zone).or_default() += 1;
+        }
+        let most = counts.values().copied().max().unwrap_or_default();
+        if most < MIN_GROUP {
+            break;
+        }
+        let best = counts.iter().filter(|(_, count)| **count == most);
+        let zones: Vec<ZoneId> = best.map(|(zone, _)| (*zone).clone()).collect();
+        let prior = host.latency(&plan.route, now).mean();
+        let chosen = host.relays.choose(&host.peers, &zones, &plan.route, prior, now);
+        let Some((zone, relay)) = chosen else {
+            break;
+        };
+        let there =
+            |(index, zones): (&usize, &Vec<ZoneId>)| zones.contains(&zone).then_some(*index);
+        let shards: Vec<usize> = remote.iter().filter_map(there).collect();
+        shards.iter().for_each(|index| drop(remote.remove(index)));
+        groups.push(Group { relay, shards });
+    }
+    groups
+}
+
+impl Group {
+    /// Returns when the peer is overdue.
+    pub fn overdue_at(&self, host: &Host, plan: &Plan, now: Instant) -> Instant {
+        let objective = plan.arrived + plan.route.target_latency;
+        let latest = objective.saturating_duration_since(now).mul_f64(PATIENCE_PART);
+        let usual = host.relays.overdue(&self.relay, &plan.route);
+        now + usual.map_or(latest, |usual| (usual * 2).min(latest))
+    }
+
+    /// Builds the query for the peer.
+    pub fn query(
+        &self,
+        plan: &Plan,
+        gather: &Gather,
+        objective: Instant,
+        now: Instant,
+    ) -> GroupQuery {
+        let call = &plan.call;
+        let header = |(name, value): (&hyper::header::HeaderName, &hyper::header::HeaderValue)| {
+            (name.as_str().to_owned(), value.as_bytes().to_vec())
+        };
+        GroupQuery {
+            request_id: call.id.clone(),
+            method: call.method.as_str().to_owned(),
+            path: call.uri.to_string(),
+            headers: call.headers.iter().map(header).collect(),
+            body: call.body.to_vec(),
+            route: plan.route.name.clone(),
+            rank: plan.route.rank,
+            max_attempts: plan.route.max_attempts,
+            target_latency: plan.route.target_latency,
+            shards: self.shards.iter().map(|index| gather.shards[*index].clone()).collect(),
+            top_records: gather.top_records,
+            answer_within: objective.saturating_duration_since(now).saturating_sub(WAY_BACK),
+            time_left: plan.deadline.saturating_duration_since(now),
+        }
+    }
+}
+
+/// Answers a query of a peer on the shards that it names.
+pub async fn answer_group(host: &Arc<Host>, query: GroupQuery) -> Option<GroupReply> {
+    let arrived = now();
+    let call = CallerRequest::from_parts(
+        query.request_id,
+        &query.method,
+        &query.path,
+        &query.headers,
+        query.body,
+    )?;
+    let gather = Gather {
+        shards: query.shards,
+        top_records: query.top_records,
+        min_coverage: 0.0,
+    };
+    let route = Route {
+        name: query.route,
+        host: call.host.clone(),
+        prefix: String::new(),
+        idempotent: true,
+        timeout: query.time_left,
+        target_latency: query.target_latency,
+        rank: query.rank,
+        max_attempts: query.max_attempts,
+        target: Target::Gather(gather.clone()),
+    };
+    let plan = Arc::new(Plan::new(call, Arc::new(route), host.config()?, arrived));
+    let patience = Patience::new(arrived, query.answer_within, Duration::ZERO, plan.deadline);
+    let mut gathering = Gathering::new(host, &plan, &gather);
+    gathering.ask_directly();
+    // Whatever is there in time is of use to the peer, which has other shards besides.
+    gathering.collect(&patience, 1).await;
+    (gathering.parts() > 0).then(|| gathering.finish_group())
+}
--- a/crates/edge/src/query/mod.rs
+++ b/crates/edge/src/query/mod.rs
@@ -2,10 +2,12 @@
 
 mod attempt;
 mod gather;
+mod group;
 mod plan;
 mod shard;
 mod single;
 
 pub use gather::gather;
+pub use group::answer_group;
 pub use plan::Plan;
 pub use single::single;
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -32,6 +32,9 @@
 /// Part of the time to the objective after which a hedge is useful at the latest.
 const HEDGE_BY: u32 = 2;
 
+/// A searcher that is slower than usual is given so many times the usual time before a hedge.
+const SLOWER: f64 = 1.3;
+
 /// Longest wait for room before the searchers are looked at again.
 const ROOM_CHECK: Duration = Duration::from_millis(20);
 
@@ -58,6 +61,8 @@
     overdue: Option<Instant>,
     /// Whether some attempt may have run.
     may_have_run: bool,
+    /// Whether the first attempt was already paid for as an extra one.
+    extra: bool,
     /// Set when the answer has gone out and no further attempt is of use.
     over: Arc<AtomicBool>,
 }
@@ -79,10 +84,18 @@
             running: FuturesUnordered::new(),
             overdue: None,
             may_have_run: false,
+            extra: false,
             over: over.clone(),
         }
     }
 
+    /// Pays for a request on a shard that was already asked through a peer, and leaves it one
+    /// attempt. Returns whether the budget allowed it.
+    pub fn spend_extra(&mut self) -> bool {
+        self.extra = lock(&self.service.budget).spend();
+        self.extra
+    }
+
     /// Returns whether some attempt may have run so far.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
@@ -94,7 +107,9 @@
         &mut self,
         accept: fn(&SearcherAnswer) -> bool,
     ) -> Result<SearcherAnswer, Missed> {
-        lock(&self.service.budget).note_first(&self.host.settings.extra, self.host.hosts());
+        if !self.extra {
+            lock(&self.service.budget).note_first(&self.host.settings.extra, self.host.hosts());
+        }
         let mut last: Option<Result<SearcherAnswer, Missed>> = None;
         loop {
             if self.running.is_empty() {
@@ -144,7 +159,8 @@
     }
 
     fn may_try(&self) -> bool {
-        self.tried.len() < self.plan.route.max_attempts as usize
+        let attempts = if self.extra { 1 } else { self.plan.route.max_attempts as usize };
+        self.tried.len() < attempts
     }
 
     /// Starts the first attempt, or another one after all others have failed.
@@ -194,7 +210,7 @@
     fn choose(&self, present: Instant) -> Choice {
         let prior = self.host.latency(&self.plan.route, present).mean();
         let limit = self.limit();
-        self.service.choose(&self.plan.route.name, prior, &self.tried, limit, present)
+        self.service.choose(&self.plan.route, prior, &self.tried, limit, present)
     }
 
     fn limit(&self) -> usize {
@@ -215,7 +231,7 @@
         let own = lock(&searcher.health).overdue(&self.plan.route.name);
         let objective = self.plan.arrived + self.plan.route.target_latency;
         let half = objective.saturating_duration_since(present) / HEDGE_BY;
-        let wait = own.map_or(all, |own| own.min(all * 2));
+        let wait = own.map_or(all, |own| own.min(all.mul_f64(SLOWER)));
         match half.is_zero() {
             true => present + wait,
             false => present + wait.min(half),
--- a/crates/edge/src/searchers/fleet.rs
+++ b/crates/edge/src/searchers/fleet.rs
@@ -7,10 +7,10 @@
 
 use galenaloft_policy::directory::Directory;
 use galenaloft_policy::directory::SearcherState;
-use galenaloft_policy::ids::RouteName;
 use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::ids::ZoneId;
+use galenaloft_policy::route::Route;
 use galenaloft_policy::routing::ExtraBudget;
 use tokio::sync::Notify;
 
@@ -44,10 +44,17 @@
         lock(&self.searchers).clone()
     }
 
+    /// Returns the availability zones in which a searcher is expected to answer.
+    pub fn zones(&self) -> Vec<ZoneId> {
+        let searchers = lock(&self.searchers);
+        let sound = searchers.iter().filter(|s| s.is_usable() && !s.is_suspect());
+        sound.map(|searcher| searcher.entry.zone.clone()).collect()
+    }
+
     /// Chooses a searcher that is not in `tried`.
     pub fn choose(
         &self,
-        route: &RouteName,
+        route: &Route,
         prior: f64,
         tried: &[SearcherId],
         limit: usize,
--- a/crates/edge/src/searchers/searcher.rs
+++ b/crates/edge/src/searchers/searcher.rs
@@ -10,7 +10,7 @@
 use galenaloft_http::Connection;
 use galenaloft_policy::directory::SearcherEntry;
 use galenaloft_policy::directory::SearcherState;
-use galenaloft_policy::ids::RouteName;
+use galenaloft_policy::route::Route;
 use galenaloft_policy::routing::ReplicaView;
 use galenaloft_policy::routing::SearcherHealth;
 
@@ -90,8 +90,14 @@
     }
 
     /// Returns the expected cost of one more attempt.
-    pub fn cost(&self, route: &RouteName, prior: f64, now: Instant) -> f64 {
-        let view = ReplicaView { route, prior, local: self.local, slots: self.entry.slots };
+    pub fn cost(&self, route: &Route, prior: f64, now: Instant) -> f64 {
+        let view = ReplicaView {
+            route: &route.name,
+            prior,
+            objective: route.target_latency,
+            local: self.local,
+            slots: self.entry.slots,
+        };
         lock(&self.health).cost(&view, now)
     }
 
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use galenaloft_config::edge::EdgeSettings;
 use galenaloft_http::Limits;
@@ -12,14 +13,17 @@
 use galenaloft_http::text;
 use galenaloft_telemetry::log::Event;
 use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
 use crate::error::ServeError;
 use crate::front;
 use crate::host::Host;
+use crate::peers;
 use crate::probe;
 use crate::readiness;
 use crate::store;
@@ -44,16 +48,24 @@
 pub async fn serve(settings: EdgeSettings, file: PathBuf) -> Result<(), ServeError> {
     let callers = bind(settings.listen.callers).await?;
     let ready = bind(settings.listen.readiness).await?;
+    let calls = bind(settings.listen.peers).await?;
+    let datagrams = UdpSocket::bind(settings.listen.peers)
+        .await
+        .map_err(|e| ServeError::Listen(settings.listen.peers, e))?;
     let mut terminate = signal(SignalKind::terminate()).map_err(ServeError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(ServeError::Signals)?;
     let mut reload = signal(SignalKind::hangup()).map_err(ServeError::Signals)?;
     Event::new("started").with("host", &settings.host).with("zone", &settings.zone).info();
     let grace = settings.grace;
-    let host = Arc::new(Host::new(settings, file));
+    let incarnation = rand::random::<u32>();
+    let host = Arc::new(Host::new(settings, file, generation(incarnation)));
     let (stop, stop_rx) = watch::channel(false);
     let front = tokio::spawn(serve_callers(callers, host.clone(), stop_rx.clone()));
     tokio::spawn(serve_readiness(ready, host.clone()));
-    tokio::spawn(store::read(host.clone()));
+    let (heard, heard_rx) = mpsc::unbounded_channel();
+    tokio::spawn(store::read(host.clone(), heard_rx));
+    tokio::spawn(peers::run(host.clone(), datagrams, heard));
+    tokio::spawn(peers::serve(host.clone(), calls));
     tokio::spawn(probe::keep_up(host.clone()));
     loop {
         tokio::select! {
@@ -63,6 +75,7 @@
         }
     }
     host.stopping.store(true, Ordering::Relaxed);
+    host.peers.leave();
     let running = host.in_progress.load(Ordering::Relaxed);
     Event::new("stopping").with("in_progress", running).info();
     let rest = grace.saturating_sub(LAST_ANSWERS);
@@ -90,3 +103,11 @@
 async fn bind(address: SocketAddr) -> Result<TcpListener, ServeError> {
     TcpListener::bind(address).await.map_err(|e| ServeError::Listen(address, e))
 }
+
+/// Returns the first generation of this run of the host, which follows those of earlier runs as
+/// long as the time of day does. Peers ask a host with an older one to choose a newer one.
+fn generation(random: u32) -> u64 {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let seconds = since_epoch.map_or(0, |since| since.as_secs());
+    (seconds << 20) | u64::from(random & 0xf_ffff)
+}
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -1,5 +1,6 @@
-//! Reading the platform's store.
+//! Following the platform's store, directly and by what other hosts read of it.
 
 mod reader;
 
+pub use reader::Heard;
 pub use reader::read;
--- a/crates/edge/src/store/reader.rs
+++ b/crates/edge/src/store/reader.rs
@@ -8,24 +8,41 @@
 use galenaloft_adapter::store::StoreClient;
 use galenaloft_adapter::store::StoreError;
 use galenaloft_adapter::store::Update;
-use galenaloft_policy::directory::Change;
 use galenaloft_policy::directory::Directory;
+use galenaloft_policy::directory::Revised;
+use galenaloft_policy::freshness::Freshness;
+use galenaloft_policy::ids::ConfigVersion;
 use galenaloft_policy::ids::StoreRevision;
+use galenaloft_policy::route::Configuration;
 use galenaloft_telemetry::log::Event;
+use tokio::sync::mpsc::UnboundedReceiver;
 
 use crate::clock::now;
+use crate::clock::sleep_until;
 use crate::host::Host;
-
-/// Time between two reads of the changes. A searcher that is leaving gets no more requests three
-/// seconds after it says so: a third of that leaves room for a failed read.
-const INTERVAL: Duration = Duration::from_millis(1_000);
-
-/// Time before a read that failed is tried again.
-const RETRY: Duration = Duration::from_millis(250);
+use crate::host::Known;
+use crate::peers::Knowledge;
+use crate::peers::StoreNews;
+use crate::sync::lock;
 
 /// Longest wait for an answer of the store.
 const PATIENCE: Duration = Duration::from_millis(700);
 
+/// Longest wait for a peer that is asked for what it knows.
+const PEER_PATIENCE: Duration = Duration::from_millis(500);
+
+/// Most peers that are asked in turn.
+const PEERS_ASKED: usize = 3;
+
+/// What other hosts tell of the store.
+#[derive(Debug)]
+pub enum Heard {
+    /// A host has this newer configuration.
+    Config(ConfigVersion),
+    /// A host has read changes.
+    News(StoreNews),
+}
+
 /// What the reader knows.
 struct Reader {
     host: Arc<Host>,
@@ -33,113 +50,207 @@
     directory: Directory,
     /// Revision up to which the changes are known; 0 before the first listing.
     revision: StoreRevision,
+    freshness: Freshness,
     /// Whether the last read failed.
     away: bool,
 }
 
 /// Follows the store for as long as the process runs.
-pub async fn read(host: Arc<Host>) {
+pub async fn read(host: Arc<Host>, mut heard: UnboundedReceiver<Heard>) {
     let client = StoreClient::new(host.settings.store, PATIENCE);
-    let mut reader =
-        Reader { host, client, directory: Directory::default(), revision: 0, away: false };
+    let mut reader = Reader {
+        host,
+        client,
+        directory: Directory::default(),
+        revision: 0,
+        freshness: Freshness::default(),
+        away: false,
+    };
     loop {
-        let result = reader.step().await;
-        let wait = reader.note(result, now());
-        tokio::time::sleep(wait).await;
+        let rank = reader.host.peers.rank();
+        let next = reader.freshness.next_read(rank, now());
+        tokio::select! {
+            biased;
+            Some(heard) = heard.recv() => reader.hear(heard).await,
+            () = sleep_until(next) => reader.read_store().await,
+        }
     }
 }
 
 impl Reader {
-    async fn step(&mut self) -> Result<(), StoreError> {
-        if self.revision == 0 {
-            return self.list().await;
-        }
-        if self.host.config().is_none() {
-            let update = self.client.configuration().await?;
-            self.adopt(update, now());
-        }
-        match self.client.changes(self.revision).await {
-            Ok(update) => {
-                let present = now();
-                self.directory.note_store_answer(present);
-                self.revision = self.revision.max(update.revision);
-                self.adopt(update, present);
-                Ok(())
+    /// Reads what changed in the store, and tells the other hosts.
+    async fn read_store(&mut self) {
+        let began = now();
+        let result = match self.revision {
+            0 => self.list().await,
+            after => self.read_changes(after).await,
+        };
+        let present = now();
+        match result {
+            Ok(()) => {
+                self.note_fresh(began);
+                if std::mem::take(&mut self.away) {
+                    Event::new("store_back").with("revision", self.revision).info();
+                }
             }
             Err(StoreError::HistoryGone) => {
                 Event::new("store_history_gone").with("revision", self.revision).info();
                 self.revision = 0;
-                Err(StoreError::HistoryGone)
             }
-            Err(e) => Err(e),
+            Err(e) => self.note_failure(&e, present).await,
+        }
+    }
+
+    async fn read_changes(&mut self, after: StoreRevision) -> Result<(), StoreError> {
+        if self.host.config().is_none() {
+            let update = self.client.configuration().await?;
+            self.adopt_configuration(update.configuration);
         }
+        let update = self.client.changes(after).await?;
+        note_unreadable(&update);
+        self.adopt_configuration(update.configuration);
+        let changes = self.apply(update.searchers, now());
+        self.revision = self.revision.max(update.revision);
+        self.host.peers.publish(StoreNews { after, revision: self.revision, changes });
+        Ok(())
     }
 
     /// Reads everything anew. What changes meanwhile is read again as a change, since the changes
     /// are followed from the revision of the first answer on.
     async fn list(&mut self) -> Result<(), StoreError> {
         let config = self.client.configuration().await?;
-        let first = config.revision;
-        self.adopt(config, now());
+        note_unreadable(&config);
+        self.adopt_configuration(config.configuration);
         let listing = self.client.searchers().await?;
-        let present = now();
-        self.directory.note_store_answer(present);
-        let revision = if first == 0 { listing.revision } else { first };
         note_unreadable(&listing);
-        let entries = listing.searchers.into_iter().filter_map(|change| match change {
-            Change::Written(entry) => Some(entry),
-            Change::Removed(_) => None,
-        });
-        let changed = self.directory.replace(entries.collect(), present);
-        self.publish(changed);
+        let revision = if config.revision == 0 { listing.revision } else { config.revision };
+        let changed = self.directory.replace(listing.searchers, revision, now());
         self.revision = revision;
+        self.publish(changed);
         self.host.listed.store(true, Ordering::Relaxed);
         Ok(())
     }
 
-    fn adopt(&mut self, update: Update, now: Instant) {
-        note_unreadable(&update);
-        if let Some(config) = update.configuration {
-            let version = config.version;
-            if self.host.adopt(config) {
-                Event::new("config_adopted").with("version", version).info();
+    async fn note_failure(&mut self, e: &StoreError, now: Instant) {
+        self.freshness.note_failed(now);
+        if self.freshness.is_stale(now) {
+            self.directory.note_store_failure(now);
+        }
+        if !std::mem::replace(&mut self.away, true) {
+            Event::new("store_away").with("why", e).warn();
+        }
+        if self.revision == 0 {
+            self.ask_peers().await;
+        }
+    }
+
+    /// Takes over what another host tells.
+    async fn hear(&mut self, heard: Heard) {
+        match heard {
+            Heard::Config(version) if version > self.host.config_version() => {
+                match self.client.configuration().await {
+                    Ok(update) => {
+                        note_unreadable(&update);
+                        self.adopt_configuration(update.configuration);
+                    }
+                    Err(e) => self.note_failure(&e, now()).await,
+                }
+                if version > self.host.config_version() {
+                    self.ask_peers().await;
+                }
+            }
+            Heard::Config(_) => {}
+            Heard::News(news) => self.hear_news(news),
+        }
+    }
+
+    fn hear_news(&mut self, news: StoreNews) {
+        if self.revision == 0 {
+            return;
+        }
+        let present = now();
+        let changes = self.apply(news.changes, present);
+        // Changes before those that were told are read with the next read.
+        if news.after <= self.revision {
+            self.revision = self.revision.max(news.revision);
+            self.note_fresh(present);
+        }
+        if !changes.is_empty() {
+            Event::new("store_news").with("changes", changes.len()).debug();
+        }
+    }
+
+    /// Takes over what some live host knows of the store.
+    async fn ask_peers(&mut self) {
+        for address in self.host.peers.to_ask().into_iter().take(PEERS_ASKED) {
+            if let Some(knowledge) = self.host.relays.knowledge(address, PEER_PATIENCE).await {
+                Event::new("store_known_by_peer")
+                    .with("peer", address)
+                    .with("revision", knowledge.revision)
+                    .with("age_ms", knowledge.age.as_millis())
+                    .info();
+                self.learn(knowledge);
+                return;
             }
         }
-        let mut changed = false;
-        for change in update.searchers {
-            changed |= self.directory.apply(change, now);
+    }
+
+    fn learn(&mut self, knowledge: Knowledge) {
+        self.adopt_configuration(knowledge.config);
+        if self.revision > 0 || knowledge.revision == 0 {
+            return;
         }
-        changed |= self.directory.expire(now);
+        let present = now();
+        let changed = self.directory.replace(knowledge.searchers, knowledge.revision, present);
+        self.revision = knowledge.revision;
         self.publish(changed);
+        self.host.listed.store(true, Ordering::Relaxed);
     }
 
-    fn publish(&self, changed: bool) {
-        if changed {
-            self.host.fleet.update(&self.directory);
+    fn adopt_configuration(&self, config: Option<Configuration>) {
+        let Some(config) = config else {
+            return;
+        };
+        let version = config.version;
+        if self.host.adopt(config) {
+            Event::new("config_adopted").with("version", version).info();
         }
     }
 
-    /// Notes how a read went. Returns the time until the next one.
-    fn note(&mut self, result: Result<(), StoreError>, now: Instant) -> Duration {
-        match result {
-            Ok(()) => {
-                if std::mem::take(&mut self.away) {
-                    Event::new("store_back").with("revision", self.revision).info();
-                }
-                match self.host.config() {
-                    Some(_) => INTERVAL,
-                    None => RETRY,
-                }
-            }
-            Err(StoreError::HistoryGone) => Duration::ZERO,
-            Err(e) => {
-                self.directory.note_store_failure(now);
-                if !std::mem::replace(&mut self.away, true) {
-                    Event::new("store_away").with("why", e).warn();
-                }
-                RETRY
+    /// Applies changes. Returns those that were more than heartbeats.
+    fn apply(&mut self, changes: Vec<Revised>, now: Instant) -> Vec<Revised> {
+        let mut real = Vec::new();
+        for revised in changes {
+            if self.directory.apply(revised.clone(), now) {
+                real.push(revised);
             }
         }
+        self.publish(!real.is_empty());
+        real
+    }
+
+    /// Notes that everything up to `at` is known.
+    fn note_fresh(&mut self, at: Instant) {
+        let present = now();
+        self.freshness.note_fresh(at);
+        self.directory.note_store_answer(present);
+        let expired = self.directory.expire(present);
+        self.publish(expired);
+        if let Some(known) = lock(&self.host.known).as_mut() {
+            known.revision = self.revision;
+            known.at = at;
+        }
+    }
+
+    fn publish(&self, changed: bool) {
+        if changed || lock(&self.host.known).is_none() {
+            self.host.fleet.update(&self.directory);
+            *lock(&self.host.known) = Some(Known {
+                searchers: self.directory.revised(),
+                revision: self.revision,
+                at: now(),
+            });
+        }
     }
 }
 
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -44,8 +44,9 @@
     _driver: JoinSet<Result<(), hyper::Error>>,
 }
 
-/// Sets the options of a connection that this process opened.
-fn prepare(stream: &TcpStream) -> std::io::Result<()> {
+/// Sets the options of a connection that this process opened: it sends at once and is lost when the
+/// other side falls silent.
+pub fn prepare(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,6 +6,7 @@
 mod server;
 
 pub use client::Connection;
+pub use client::prepare;
 pub use error::HttpError;
 pub use respond::Reply;
 pub use respond::json;
--- a/crates/policy/src/directory/entry.rs
+++ b/crates/policy/src/directory/entry.rs
@@ -3,13 +3,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::ids::SearcherBirth;
 use crate::ids::SearcherId;
 use crate::ids::ServiceId;
 use crate::ids::ZoneId;
 
 /// Whether a searcher takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SearcherState {
     /// It serves.
     Ready,
@@ -18,7 +21,7 @@
 }
 
 /// One searcher as it registered itself, without what changes at each heartbeat.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SearcherEntry {
     /// Its id.
     pub id: SearcherId,
--- a/crates/policy/src/directory/listing.rs
+++ b/crates/policy/src/directory/listing.rs
@@ -4,16 +4,23 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::directory::SearcherEntry;
 use crate::directory::SearcherState;
 use crate::ids::SearcherId;
+use crate::ids::StoreRevision;
 
 /// How long after the store's return a searcher whose entry lapsed is still used. The platform
 /// states that living searchers are listed again within about two seconds.
 const RETURN_TIME: Duration = Duration::from_millis(2_300);
 
+/// Removed searchers that are remembered, so that older news does not bring them back.
+const MAX_REMOVED: usize = 1_024;
+
 /// One change of the list.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// A searcher wrote its entry.
     Written(SearcherEntry),
@@ -21,9 +28,19 @@
     Removed(SearcherId),
 }
 
+/// A change with the store's revision at which it was made.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Revised {
+    /// The change.
+    pub change: Change,
+    /// Its revision.
+    pub revision: StoreRevision,
+}
+
 #[derive(Debug, Clone)]
 struct Listed {
     entry: SearcherEntry,
+    revision: StoreRevision,
     /// Set when the entry is gone but may lapse only because the store was away.
     lapsed: bool,
 }
@@ -32,6 +49,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
     listed: BTreeMap<SearcherId, Listed>,
+    /// Revisions at which entries were removed.
+    removed: BTreeMap<SearcherId, StoreRevision>,
     /// When the store was last seen to fail.
     store_failed: Option<Instant>,
     /// When the store first answered again after that.
@@ -52,31 +71,52 @@
         }
     }
 
-    /// Applies one change. Returns whether the set of usable searchers or their entries changed.
-    pub fn apply(&mut self, change: Change, now: Instant) -> bool {
+    /// Applies one change unless a later one of the same searcher is known. Returns whether the
+    /// set of usable searchers or their entries changed.
+    pub fn apply(&mut self, revised: Revised, now: Instant) -> bool {
+        let Revised { change, revision } = revised;
+        let id = match &change {
+            Change::Written(entry) => &entry.id,
+            Change::Removed(id) => id,
+        };
+        let listed = self.listed.get(id).map(|listed| listed.revision);
+        if listed.max(self.removed.get(id).copied()) > Some(revision) {
+            return false;
+        }
         match change {
             Change::Written(entry) => {
                 let id = entry.id.clone();
+                self.removed.remove(&id);
                 let known = self.listed.get(&id);
                 let changed = known.is_none_or(|known| known.entry != entry);
-                self.listed.insert(id, Listed { entry, lapsed: false });
+                self.listed.insert(id, Listed { entry, revision, lapsed: false });
                 changed
             }
-            Change::Removed(id) => self.remove(&id, now),
+            Change::Removed(id) => self.remove(&id, revision, now),
         }
     }
 
-    /// Replaces the whole list by what the store holds now. Returns whether it changed.
-    pub fn replace(&mut self, entries: Vec<SearcherEntry>, now: Instant) -> bool {
-        let present: BTreeMap<SearcherId, ()> =
-            entries.iter().map(|entry| (entry.id.clone(), ())).collect();
-        let known: Vec<SearcherId> = self.listed.keys().cloned().collect();
+    /// Replaces the whole list by what the store held at `revision` or later. Returns whether it
+    /// changed.
+    pub fn replace(
+        &mut self,
+        entries: Vec<Revised>,
+        revision: StoreRevision,
+        now: Instant,
+    ) -> bool {
+        let mut gone: BTreeMap<SearcherId, StoreRevision> =
+            self.listed.iter().map(|(id, listed)| (id.clone(), listed.revision)).collect();
         let mut changed = false;
-        for id in known.into_iter().filter(|id| !present.contains_key(id)) {
-            changed |= self.remove(&id, now);
+        for revised in entries {
+            if let Change::Written(entry) = &revised.change {
+                gone.remove(&entry.id);
+            }
+            changed |= self.apply(revised, now);
         }
-        for entry in entries {
-            changed |= self.apply(Change::Written(entry), now);
+        // What was written after the listing began may be missing from it.
+        gone.retain(|_, written| *written <= revision);
+        for id in gone.keys() {
+            changed |= self.remove(id, revision, now);
         }
         changed
     }
@@ -96,8 +136,22 @@
         self.listed.values().map(|listed| &listed.entry)
     }
 
-    fn remove(&mut self, id: &SearcherId, now: Instant) -> bool {
+    /// Returns every entry with its revision.
+    pub fn revised(&self) -> Vec<Revised> {
+        let present = self.listed.values().filter(|listed| !listed.lapsed);
+        let revised = |listed: &Listed| Revised {
+            change: Change::Written(listed.entry.clone()),
+            revision: listed.revision,
+        };
+        present.map(revised).collect()
+    }
+
+    fn remove(&mut self, id: &SearcherId, revision: StoreRevision, now: Instant) -> bool {
         let may_return = self.may_have_lapsed(now);
+        if self.removed.len() >= MAX_REMOVED {
+            self.removed.clear();
+        }
+        self.removed.insert(id.clone(), revision);
         let Some(listed) = self.listed.get_mut(id) else {
             return false;
         };
--- a/crates/policy/src/directory/mod.rs
+++ b/crates/policy/src/directory/mod.rs
@@ -9,3 +9,4 @@
 pub use entry::SearcherState;
 pub use listing::Change;
 pub use listing::Directory;
+pub use listing::Revised;
--- a/crates/policy/src/directory/tests.rs
+++ b/crates/policy/src/directory/tests.rs
@@ -16,6 +16,14 @@
     }
 }
 
+fn written(id: &str, state: SearcherState, revision: u64) -> Revised {
+    Revised { change: Change::Written(entry(id, state)), revision }
+}
+
+fn removed(id: &str, revision: u64) -> Revised {
+    Revised { change: Change::Removed(id.into()), revision }
+}
+
 fn ids(directory: &Directory) -> Vec<String> {
     directory.entries().map(|entry| entry.id.to_string()).collect()
 }
@@ -24,17 +32,39 @@
 fn an_unchanged_heartbeat_is_no_change() {
     let now = Instant::now();
     let mut directory = Directory::default();
-    assert!(directory.apply(Change::Written(entry("a", SearcherState::Ready)), now));
-    assert!(!directory.apply(Change::Written(entry("a", SearcherState::Ready)), now));
-    assert!(directory.apply(Change::Written(entry("a", SearcherState::Draining)), now));
+    assert!(directory.apply(written("a", SearcherState::Ready, 1), now));
+    assert!(!directory.apply(written("a", SearcherState::Ready, 2), now));
+    assert!(directory.apply(written("a", SearcherState::Draining, 3), now));
+}
+
+#[test]
+fn older_news_neither_revives_nor_changes_a_searcher() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.apply(written("a", SearcherState::Draining, 5), now);
+    assert!(!directory.apply(written("a", SearcherState::Ready, 4), now));
+    assert!(directory.apply(removed("a", 6), now));
+    assert!(!directory.apply(written("a", SearcherState::Ready, 5), now));
+    assert!(ids(&directory).is_empty());
+    assert!(directory.apply(written("a", SearcherState::Ready, 7), now));
+}
+
+#[test]
+fn a_listing_keeps_what_was_written_after_it_began() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.apply(written("old", SearcherState::Ready, 1), now);
+    directory.apply(written("new", SearcherState::Ready, 9), now);
+    assert!(directory.replace(vec![written("other", SearcherState::Ready, 2)], 5, now));
+    assert_eq!(ids(&directory), ["new", "other"]);
 }
 
 #[test]
 fn a_removed_entry_is_gone_at_once_while_the_store_is_up() {
     let now = Instant::now();
     let mut directory = Directory::default();
-    directory.apply(Change::Written(entry("a", SearcherState::Ready)), now);
-    assert!(directory.apply(Change::Removed("a".into()), now));
+    directory.apply(written("a", SearcherState::Ready, 1), now);
+    assert!(directory.apply(removed("a", 2), now));
     assert!(ids(&directory).is_empty());
 }
 
@@ -42,12 +72,12 @@
 fn an_entry_that_lapsed_with_the_store_is_used_until_it_must_be_back() {
     let now = Instant::now();
     let mut directory = Directory::default();
-    directory.apply(Change::Written(entry("a", SearcherState::Ready)), now);
-    directory.apply(Change::Written(entry("b", SearcherState::Draining)), now);
+    directory.apply(written("a", SearcherState::Ready, 1), now);
+    directory.apply(written("b", SearcherState::Draining, 1), now);
     directory.note_store_failure(now);
     let back = now + Duration::from_secs(5);
     directory.note_store_answer(back);
-    directory.replace(Vec::new(), back);
+    directory.replace(Vec::new(), 2, back);
     assert_eq!(ids(&directory), ["a"]);
     assert!(!directory.expire(back + Duration::from_secs(1)));
     assert!(directory.expire(back + Duration::from_millis(2_400)));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod attempt;
 pub mod catalogue;
 pub mod directory;
+pub mod freshness;
 pub mod gathering;
 pub mod heartbeat;
 pub mod ids;
--- a/crates/policy/src/route/configuration.rs
+++ b/crates/policy/src/route/configuration.rs
@@ -5,13 +5,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::ids::ConfigVersion;
 use crate::ids::Rank;
 use crate::ids::RouteName;
 use crate::ids::ServiceId;
 
 /// A service and its share of a route's requests.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct WeightedService {
     /// The service.
     pub service: ServiceId,
@@ -20,7 +23,7 @@
 }
 
 /// How the parts of a query over many shards become one answer.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Gather {
     /// The services that each hold one shard.
     pub shards: Vec<ServiceId>,
@@ -40,7 +43,7 @@
 }
 
 /// Where the requests of a route go.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Target {
     /// To one service.
     Service(ServiceId),
@@ -51,7 +54,7 @@
 }
 
 /// One route.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Its name.
     pub name: RouteName,
@@ -74,7 +77,7 @@
 }
 
 /// What is configured of a service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceSpec {
     /// Path that tells whether a searcher is healthy.
     pub health_path: String,
@@ -83,7 +86,7 @@
 }
 
 /// What a caller may send.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Size of a request's head, in bytes.
     pub head_bytes: usize,
@@ -96,7 +99,7 @@
 }
 
 /// One version of the configuration, with routes in the order in which they match.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
     /// Its version.
     pub version: ConfigVersion,
--- a/crates/policy/src/routing/health.rs
+++ b/crates/policy/src/routing/health.rs
@@ -9,11 +9,21 @@
 /// Weight of the newest latency in the moving averages.
 const NEWEST: f64 = 0.15;
 
+/// Weight of a latency far above the mean: a searcher that has become slow is noticed at once.
+const NEWEST_SLOW: f64 = 0.4;
+
+/// A latency above so many times the mean is far above it.
+const FAR_ABOVE: f64 = 2.0;
+
 /// Time in which half of a slow searcher's latency is forgotten, so that it is tried again.
-const HALF_LIFE: Duration = Duration::from_secs(4);
+const HALF_LIFE: Duration = Duration::from_secs(6);
 
-/// How many mean deviations above the mean an attempt is overdue.
-const OVERDUE_DEVIATIONS: f64 = 1.5;
+/// Share of the attempts that end before they are overdue. Hedges for the rest and for searchers
+/// that pause stay inside a budget of one extra request in five.
+const OVERDUE_QUANTILE: f64 = 0.92;
+
+/// By which part of itself the overdue time moves with each latency.
+const QUANTILE_STEP: f64 = 0.15;
 
 /// Shortest time after which an attempt is overdue: timers on the hosts fire some milliseconds
 /// late.
@@ -28,9 +38,9 @@
 /// What a pause is expected to cost a request that is sent into it, in seconds.
 const PAUSE_COST: f64 = 0.1;
 
-/// What sending to another availability zone costs beside its latency, in seconds: bytes between
-/// zones are paid for.
-const REMOTE_COST: f64 = 0.002;
+/// What sending to another availability zone costs beside its latency, as a share of the
+/// objective: bytes between zones are paid for, and a little time is not.
+const REMOTE_COST: f64 = 0.1;
 
 /// How long a searcher is avoided after its first failure, and how long before it is asked for its
 /// health; doubled with each further failure.
@@ -48,11 +58,11 @@
 /// Latencies of so many routes are kept for a searcher.
 const MAX_ROUTES: usize = 32;
 
-/// Moving mean and mean deviation of a latency, in seconds.
+/// Moving mean and high quantile of a latency, in seconds.
 #[derive(Debug, Clone, Copy)]
 pub struct LatencyEstimate {
     mean: f64,
-    deviation: f64,
+    high: f64,
     seen: Instant,
 }
 
@@ -60,20 +70,31 @@
     /// Starts from one latency.
     pub fn new(latency: Duration, now: Instant) -> Self {
         let mean = latency.as_secs_f64();
-        Self { mean, deviation: mean / 2.0, seen: now }
+        Self { mean, high: mean * FAR_ABOVE, seen: now }
     }
 
     /// Adds one latency.
     pub fn record(&mut self, latency: Duration, now: Instant) {
         let error = latency.as_secs_f64() - self.mean;
-        self.mean += NEWEST * error;
-        self.deviation += NEWEST * (error.abs() - self.deviation);
+        let weight = if error > (FAR_ABOVE - 1.0) * self.mean { NEWEST_SLOW } else { NEWEST };
+        self.mean += weight * error;
+        // Stochastic approximation: steps up and down balance at the quantile.
+        let up = latency.as_secs_f64() > self.high;
+        let step = if up { OVERDUE_QUANTILE } else { OVERDUE_QUANTILE - 1.0 };
+        self.high = (self.high * (1.0 + QUANTILE_STEP * step)).max(self.mean);
         self.seen = now;
     }
 
+    /// Adds one latency as far as it is not far above the mean, so that a few slow searchers do
+    /// not change what is taken as usual.
+    pub fn record_usual(&mut self, latency: Duration, now: Instant) {
+        let most = Duration::from_secs_f64(self.mean * FAR_ABOVE);
+        self.record(latency.min(most), now);
+    }
+
     /// Returns after how long an attempt is overdue.
     pub fn overdue(&self) -> Duration {
-        Duration::from_secs_f64(self.mean + OVERDUE_DEVIATIONS * self.deviation).max(MIN_OVERDUE)
+        Duration::from_secs_f64(self.high).max(MIN_OVERDUE)
     }
 
     /// Returns the mean, in seconds.
@@ -146,6 +167,11 @@
         self.unreachable
     }
 
+    /// Returns whether it failed a moment ago.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        self.avoided_until.is_some_and(|until| now < until)
+    }
+
     /// Returns whether the searcher failed and has not answered since.
     pub fn is_suspect(&self) -> bool {
         self.failures > 0
@@ -185,7 +211,7 @@
         let waiting = (self.running.len() as f64 / f64::from(view.slots.max(1))).floor();
         let mut cost = latency * (1.0 + waiting);
         if !view.local {
-            cost += REMOTE_COST;
+            cost += REMOTE_COST * view.objective.as_secs_f64();
         }
         let oldest = self.running.iter().min();
         let age = oldest.map_or(0.0, |sent| now.saturating_duration_since(*sent).as_secs_f64());
@@ -218,6 +244,8 @@
     pub route: &'a RouteName,
     /// Latency of the route at searchers of which nothing is known, in seconds.
     pub prior: f64,
+    /// Time within which the whole request is to be answered.
+    pub objective: Duration,
     /// Whether the searcher is in the host's own availability zone.
     pub local: bool,
     /// Requests that it runs at a time.
