Choice by the median of a searcher's last latencies

Cause: a pause put 100 ms into the moving mean of a local searcher, which then lost to one in another zone for seconds: 40% of all parts crossed.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -163,20 +163,20 @@
     }
 
     /// Notes the latency of a route at some searcher.
-    pub fn note_latency(&self, route: &RouteName, latency: Duration, now: Instant) {
+    pub fn note_latency(&self, route: &RouteName, latency: Duration) {
         let mut latencies = lock(&self.latencies);
         if latencies.len() >= MAX_ROUTES && !latencies.contains_key(route) {
             latencies.clear();
         }
         latencies
             .entry(route.clone())
-            .and_modify(|estimate| estimate.record_usual(latency, now))
-            .or_insert_with(|| LatencyEstimate::new(latency, now));
+            .and_modify(|estimate| estimate.record(latency))
+            .or_insert_with(|| LatencyEstimate::new(latency));
     }
 
     /// Returns the latency of a route over all searchers.
-    pub fn latency(&self, route: &Route, now: Instant) -> LatencyEstimate {
+    pub fn latency(&self, route: &Route) -> LatencyEstimate {
         let known = lock(&self.latencies).get(&route.name).copied();
-        known.unwrap_or_else(|| LatencyEstimate::new(route.target_latency / FIRST_ESTIMATE, now))
+        known.unwrap_or_else(|| LatencyEstimate::new(route.target_latency / FIRST_ESTIMATE))
     }
 }
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -83,9 +83,10 @@
         Some((zone, Relay { host, address }))
     }
 
-    /// Returns after how long an answer of the peer is overdue.
-    pub fn overdue(&self, relay: &Relay, route: &Route) -> Option<Duration> {
-        lock(&self.health).get(&relay.host)?.overdue(&route.name)
+    /// Returns how long the peer typically takes.
+    pub fn typical(&self, relay: &Relay, route: &Route) -> Option<Duration> {
+        let typical = lock(&self.health).get(&relay.host)?.typical(&route.name)?;
+        Some(Duration::from_secs_f64(typical))
     }
 
     /// Asks a peer for the parts of some shards.
--- a/crates/edge/src/query/attempt.rs
+++ b/crates/edge/src/query/attempt.rs
@@ -55,7 +55,7 @@
     let Target::Gather(_) = plan.route.target else {
         return None;
     };
-    let expected = host.latency(&plan.route, now()).mean();
+    let expected = host.latency(&plan.route).median();
     let slow = Duration::from_secs_f64(expected) * SILENCE_FACTOR;
     Some(slow.max(MIN_SILENCE))
 }
@@ -110,7 +110,7 @@
             let latency = present.saturating_duration_since(lease.began);
             if answer.status.is_success() {
                 lock(&searcher.health).note_answer(&plan.route.name, latency, present);
-                host.note_latency(&plan.route.name, latency, present);
+                host.note_latency(&plan.route.name, latency);
             } else if answer.status.is_server_error() {
                 lock(&searcher.health).note_failure(present);
             }
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -31,6 +31,9 @@
 /// Part of the time to the objective after which a peer that has not answered is passed over.
 const PATIENCE_PART: f64 = 0.45;
 
+/// A peer that takes so many times its typical time is passed over.
+const SLOW_PEER: u32 = 3;
+
 /// Shards that are asked through one peer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Group {
@@ -61,7 +64,7 @@
         }
         let best = counts.iter().filter(|(_, count)| **count == most);
         let zones: Vec<ZoneId> = best.map(|(zone, _)| (*zone).clone()).collect();
-        let prior = host.latency(&plan.route, now).mean();
+        let prior = host.latency(&plan.route).median();
         let chosen = host.relays.choose(&host.peers, &zones, &plan.route, prior, now);
         let Some((zone, relay)) = chosen else {
             break;
@@ -80,8 +83,8 @@
     pub fn overdue_at(&self, host: &Host, plan: &Plan, now: Instant) -> Instant {
         let objective = plan.arrived + plan.route.target_latency;
         let latest = objective.saturating_duration_since(now).mul_f64(PATIENCE_PART);
-        let usual = host.relays.overdue(&self.relay, &plan.route);
-        now + usual.map_or(latest, |usual| (usual * 2).min(latest))
+        let usual = host.relays.typical(&self.relay, &plan.route);
+        now + usual.map_or(latest, |usual| (usual * SLOW_PEER).min(latest))
     }
 
     /// Builds the query for the peer.
@@ -124,11 +127,7 @@
         &query.headers,
         query.body,
     )?;
-    let gather = Gather {
-        shards: query.shards,
-        top_records: query.top_records,
-        min_coverage: 0.0,
-    };
+    let gather = Gather { shards: query.shards, top_records: query.top_records, min_coverage: 0.0 };
     let route = Route {
         name: query.route,
         host: call.host.clone(),
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -32,7 +32,9 @@
 /// Part of the time to the objective after which a hedge is useful at the latest.
 const HEDGE_BY: u32 = 2;
 
-/// A searcher that is slower than usual is given so many times the usual time before a hedge.
+/// Bounds of the time that a searcher is given before a hedge, as a multiple of the usual time:
+/// machines differ that much by design, beyond it a searcher has a problem.
+const FASTER: f64 = 0.7;
 const SLOWER: f64 = 1.3;
 
 /// Longest wait for room before the searchers are looked at again.
@@ -208,7 +210,7 @@
     }
 
     fn choose(&self, present: Instant) -> Choice {
-        let prior = self.host.latency(&self.plan.route, present).mean();
+        let prior = self.host.latency(&self.plan.route).median();
         let limit = self.limit();
         self.service.choose(&self.plan.route, prior, &self.tried, limit, present)
     }
@@ -227,11 +229,12 @@
     }
 
     fn overdue_at(&self, searcher: &Searcher, present: Instant) -> Instant {
-        let all = self.host.latency(&self.plan.route, present).overdue();
-        let own = lock(&searcher.health).overdue(&self.plan.route.name);
+        let all = self.host.latency(&self.plan.route);
+        let typical = lock(&searcher.health).typical(&self.plan.route.name);
+        let speed = typical.map_or(1.0, |own| (own / all.median()).clamp(FASTER, SLOWER));
+        let wait = all.overdue().mul_f64(speed);
         let objective = self.plan.arrived + self.plan.route.target_latency;
         let half = objective.saturating_duration_since(present) / HEDGE_BY;
-        let wait = own.map_or(all, |own| own.min(all.mul_f64(SLOWER)));
         match half.is_zero() {
             true => present + wait,
             false => present + wait.min(half),
--- a/crates/policy/src/routing/health.rs
+++ b/crates/policy/src/routing/health.rs
@@ -5,30 +5,11 @@
 use std::time::Instant;
 
 use crate::ids::RouteName;
-
-/// Weight of the newest latency in the moving averages.
-const NEWEST: f64 = 0.15;
-
-/// Weight of a latency far above the mean: a searcher that has become slow is noticed at once.
-const NEWEST_SLOW: f64 = 0.4;
-
-/// A latency above so many times the mean is far above it.
-const FAR_ABOVE: f64 = 2.0;
+use crate::routing::RecentLatencies;
 
 /// Time in which half of a slow searcher's latency is forgotten, so that it is tried again.
 const HALF_LIFE: Duration = Duration::from_secs(6);
 
-/// Share of the attempts that end before they are overdue. Hedges for the rest and for searchers
-/// that pause stay inside a budget of one extra request in five.
-const OVERDUE_QUANTILE: f64 = 0.92;
-
-/// By which part of itself the overdue time moves with each latency.
-const QUANTILE_STEP: f64 = 0.15;
-
-/// Shortest time after which an attempt is overdue: timers on the hosts fire some milliseconds
-/// late.
-const MIN_OVERDUE: Duration = Duration::from_millis(4);
-
 /// How many times its expected latency an attempt may take before its searcher is taken to pause.
 const PAUSE_FACTOR: f64 = 2.5;
 
@@ -58,55 +39,10 @@
 /// Latencies of so many routes are kept for a searcher.
 const MAX_ROUTES: usize = 32;
 
-/// Moving mean and high quantile of a latency, in seconds.
-#[derive(Debug, Clone, Copy)]
-pub struct LatencyEstimate {
-    mean: f64,
-    high: f64,
-    seen: Instant,
-}
-
-impl LatencyEstimate {
-    /// Starts from one latency.
-    pub fn new(latency: Duration, now: Instant) -> Self {
-        let mean = latency.as_secs_f64();
-        Self { mean, high: mean * FAR_ABOVE, seen: now }
-    }
-
-    /// Adds one latency.
-    pub fn record(&mut self, latency: Duration, now: Instant) {
-        let error = latency.as_secs_f64() - self.mean;
-        let weight = if error > (FAR_ABOVE - 1.0) * self.mean { NEWEST_SLOW } else { NEWEST };
-        self.mean += weight * error;
-        // Stochastic approximation: steps up and down balance at the quantile.
-        let up = latency.as_secs_f64() > self.high;
-        let step = if up { OVERDUE_QUANTILE } else { OVERDUE_QUANTILE - 1.0 };
-        self.high = (self.high * (1.0 + QUANTILE_STEP * step)).max(self.mean);
-        self.seen = now;
-    }
-
-    /// Adds one latency as far as it is not far above the mean, so that a few slow searchers do
-    /// not change what is taken as usual.
-    pub fn record_usual(&mut self, latency: Duration, now: Instant) {
-        let most = Duration::from_secs_f64(self.mean * FAR_ABOVE);
-        self.record(latency.min(most), now);
-    }
-
-    /// Returns after how long an attempt is overdue.
-    pub fn overdue(&self) -> Duration {
-        Duration::from_secs_f64(self.high).max(MIN_OVERDUE)
-    }
-
-    /// Returns the mean, in seconds.
-    pub fn mean(&self) -> f64 {
-        self.mean
-    }
-}
-
 /// What one host has observed of one searcher.
 #[derive(Debug, Default)]
 pub struct SearcherHealth {
-    latencies: BTreeMap<RouteName, LatencyEstimate>,
+    latencies: BTreeMap<RouteName, RecentLatencies>,
     /// When each running attempt was sent.
     running: Vec<Instant>,
     failures: u32,
@@ -136,16 +72,7 @@
         self.latencies
             .entry(route.clone())
             .and_modify(|estimate| estimate.record(latency, now))
-            .or_insert_with(|| LatencyEstimate::new(latency, now));
-    }
-
-    /// Notes an attempt that was given up after `waited`; it would have taken longer.
-    pub fn note_abandoned(&mut self, route: &RouteName, waited: Duration, now: Instant) {
-        if let Some(estimate) = self.latencies.get_mut(route) {
-            if waited.as_secs_f64() > estimate.mean {
-                estimate.record(waited * 2, now);
-            }
-        }
+            .or_insert_with(|| RecentLatencies::new(latency, now));
     }
 
     /// Notes a bad answer or a connection that was lost: others are preferred for a while.
@@ -200,9 +127,9 @@
         self.running.len()
     }
 
-    /// Returns after how long an attempt is overdue, or `None` while nothing is known.
-    pub fn overdue(&self, route: &RouteName) -> Option<Duration> {
-        self.latencies.get(route).map(LatencyEstimate::overdue)
+    /// Returns the typical latency of a route in seconds, or `None` while nothing is known.
+    pub fn typical(&self, route: &RouteName) -> Option<f64> {
+        self.latencies.get(route).map(RecentLatencies::typical)
     }
 
     /// Returns the expected cost of one more attempt, in seconds; lower is better.
@@ -229,11 +156,12 @@
         let Some(estimate) = self.latencies.get(view.route) else {
             return prior;
         };
-        if estimate.mean <= prior {
-            return estimate.mean;
+        let typical = estimate.typical();
+        if typical <= prior {
+            return typical;
         }
-        let age = now.saturating_duration_since(estimate.seen).as_secs_f64();
-        prior + 0.5_f64.powf(age / HALF_LIFE.as_secs_f64()) * (estimate.mean - prior)
+        let age = estimate.age(now).as_secs_f64();
+        prior + 0.5_f64.powf(age / HALF_LIFE.as_secs_f64()) * (typical - prior)
     }
 }
 
--- a/crates/policy/src/routing/mod.rs
+++ b/crates/policy/src/routing/mod.rs
@@ -1,5 +1,6 @@
 //! Where attempts go: owners, replicas, latency estimates, hedges and retry budgets.
 
+mod estimate;
 mod extra;
 mod health;
 mod hedge;
@@ -10,9 +11,10 @@
 #[cfg(test)]
 mod tests;
 
+pub use estimate::LatencyEstimate;
+pub use estimate::RecentLatencies;
 pub use extra::ExtraBound;
 pub use extra::ExtraBudget;
-pub use health::LatencyEstimate;
 pub use health::ReplicaView;
 pub use health::SearcherHealth;
 pub use hedge::HedgePolicy;
