Cut zones send callers elsewhere; overloaded shards are left out as the floor allows

Cause: a zone that is cut off has no searcher for a third of the shards, so every query there failed after its deadline; and with 20 of 40 searchers slow or down, the few shards without a sound one drowned in requests that no answer waited for. Ruled out: refusing whole queries for these shards (a query needs 18 of 20 only).

--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -42,14 +42,14 @@
     let arrived = now();
     let call = match CallerRequest::decode(req) {
         Ok(call) => call,
-        Err(why) => return Answer::Improper(why).encode(host.is_stopping()),
+        Err(why) => return Answer::Improper(why).encode(host.turns_away()),
     };
     let Some(config) = host.config() else {
-        return Answer::Refused(NOT_INFORMED).encode(host.is_stopping());
+        return Answer::Refused(NOT_INFORMED).encode(host.turns_away());
     };
     let Some(route) = config.route(&call.host, call.path()).cloned() else {
         Event::new("no_route").with("host", &call.host).with("path", call.path()).info();
-        return Answer::NoRoute.encode(host.is_stopping());
+        return Answer::NoRoute.encode(host.turns_away());
     };
     let plan = Arc::new(Plan::new(call, route, config, arrived));
     let answer = match &plan.route.target {
@@ -61,7 +61,7 @@
         },
     };
     log_failure(&plan, &answer);
-    answer.encode(host.is_stopping())
+    answer.encode(host.turns_away())
 }
 
 /// Logs each answer that is not a full success.
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -17,11 +17,17 @@
 use galenaloft_policy::ids::RouteName;
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::ids::StoreRevision;
+use galenaloft_policy::readiness::Ability;
+use galenaloft_policy::readiness::NotReady;
+use galenaloft_policy::readiness::is_cut_off;
 use galenaloft_policy::route::Configuration;
+use galenaloft_policy::route::Gather;
 use galenaloft_policy::route::Route;
 use galenaloft_policy::route::Split;
+use galenaloft_policy::route::Target;
 use galenaloft_policy::route::WeightedService;
 use galenaloft_policy::routing::LatencyEstimate;
+use galenaloft_telemetry::log::Event;
 use tokio::sync::watch;
 
 use crate::clock::now;
@@ -75,6 +81,10 @@
     pub listed: AtomicBool,
     /// Whether a planned stop has begun.
     pub stopping: AtomicBool,
+    /// When a searcher in another zone last answered.
+    outside_answered: Mutex<Option<Instant>>,
+    /// What the balancer was told last.
+    told: Mutex<Option<NotReady>>,
     /// Requests of callers that are not answered yet.
     pub in_progress: AtomicUsize,
 }
@@ -102,6 +112,8 @@
             latencies: Mutex::default(),
             listed: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
+            outside_answered: Mutex::new(None),
+            told: Mutex::new(Some(NotReady::Uninformed)),
             in_progress: AtomicUsize::new(0),
         }
     }
@@ -126,9 +138,55 @@
         true
     }
 
-    /// Returns whether the host can answer callers and means to go on doing so.
-    pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.listed.load(Ordering::Relaxed) && self.config().is_some()
+    /// Returns why the host takes no new callers, or `None` if it does.
+    pub fn not_ready(&self, now: Instant) -> Option<NotReady> {
+        let config = self.config();
+        let ability = Ability {
+            informed: config.is_some() && self.listed.load(Ordering::Relaxed),
+            stopping: self.is_stopping(),
+            cut_off: self.is_cut_off(now),
+            covers_floor: config.is_none_or(|config| self.covers_floor(&config)),
+        };
+        ability.not_ready()
+    }
+
+    /// Returns whether the own zone is cut off from the others.
+    pub fn is_cut_off(&self, now: Instant) -> bool {
+        let host = self.peers.others_heard(now);
+        let searcher = *lock(&self.outside_answered);
+        is_cut_off(host.map(|host| searcher.map_or(host, |searcher| host.max(searcher))), now)
+    }
+
+    /// Notes an answer of a searcher in another zone.
+    pub fn note_outside_answer(&self, now: Instant) {
+        *lock(&self.outside_answered) = Some(now);
+    }
+
+    /// Returns how many of the shards have a searcher in the own zone.
+    pub fn own_shards(&self, gather: &Gather) -> usize {
+        let own = |id: &&ServiceId| self.fleet.service(id).is_in_own_zone();
+        gather.shards.iter().filter(own).count()
+    }
+
+    fn covers_floor(&self, config: &Configuration) -> bool {
+        config.routes().all(|route| match &route.target {
+            Target::Gather(gather) => self.own_shards(gather) >= gather.min_parts(),
+            Target::Service(_) | Target::Weighted(_) => true,
+        })
+    }
+
+    /// Notes what the balancer is told.
+    pub fn note_readiness(&self, not_ready: Option<NotReady>) {
+        let before = std::mem::replace(&mut *lock(&self.told), not_ready);
+        if before != not_ready {
+            let why = not_ready.map_or("none".to_owned(), |why| format!("{why:?}"));
+            Event::new("readiness").with("ready", not_ready.is_none()).with("why_not", why).info();
+        }
+    }
+
+    /// Returns whether callers shall open their next connection anew, perhaps to another host.
+    pub fn turns_away(&self) -> bool {
+        lock(&self.told).is_some_and(|why| why != NotReady::Uninformed)
     }
 
     /// Returns whether a planned stop has begun.
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -103,6 +103,9 @@
             }
         }
         round = round.wrapping_add(1);
+        for address in host.peers.silent_others(now()) {
+            send_gossip(&host, &socket, address, Purpose::Probe { wants_all: false }).await;
+        }
         let target = lock(&host.peers.table).next_probe();
         if let Some(target) = target {
             let wants_all = round <= SEED_EVERY;
--- a/crates/edge/src/peers/members.rs
+++ b/crates/edge/src/peers/members.rs
@@ -31,6 +31,12 @@
 /// messages of one host do not grow with the fleet.
 const MAX_SHARED: usize = 16;
 
+/// Silence of the other zones after which some of their hosts are probed.
+const QUIET: Duration = Duration::from_millis(150);
+
+/// Hosts of other zones that are probed then.
+const OTHERS_PROBED: usize = 4;
+
 /// The other hosts.
 #[derive(Debug)]
 pub struct Peers {
@@ -80,6 +86,29 @@
         }
     }
 
+    /// Returns when a host of another zone was last heard, if one was lately.
+    pub fn others_heard(&self, now: Instant) -> Option<Instant> {
+        let table = lock(&self.table);
+        let own = table.own().zone.clone();
+        let other = |host: &HostId| table.get(host).is_some_and(|fact| fact.zone != own);
+        let heard = lock(&self.heard);
+        let latest = heard.iter().filter(|(host, _)| other(host)).map(|(_, at)| *at).max()?;
+        (now.saturating_duration_since(latest) < COUNTED).then_some(latest)
+    }
+
+    /// Returns some hosts of other zones to probe if nothing was heard of those zones for a while,
+    /// so that only a real silence goes on.
+    pub fn silent_others(&self, now: Instant) -> Vec<SocketAddr> {
+        let quiet = |at: Instant| now.saturating_duration_since(at) >= QUIET;
+        if !self.others_heard(now).is_some_and(quiet) {
+            return Vec::new();
+        }
+        let table = lock(&self.table);
+        let own = table.own().zone.clone();
+        let others = table.working().filter(|fact| fact.zone != own);
+        others.take(OTHERS_PROBED).map(|fact| fact.address).collect()
+    }
+
     /// Returns whether a host was heard of since `then`.
     pub fn heard_since(&self, host: &HostId, then: Instant) -> bool {
         lock(&self.heard).get(host).is_some_and(|at| *at >= then)
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -85,6 +85,8 @@
     pub target_latency: Duration,
     /// The shards.
     pub shards: Vec<ServiceId>,
+    /// Fewest parts that the whole query needs of them.
+    pub min_parts: usize,
     /// Most records that are wanted.
     pub top_records: usize,
     /// Time after which an answer that is incomplete goes out.
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use galenaloft_adapter::searcher;
+use galenaloft_telemetry::log::Event;
 use tokio::time::timeout;
 
 use crate::clock::now;
@@ -18,16 +19,28 @@
 /// Time between two rounds.
 const INTERVAL: Duration = Duration::from_millis(250);
 
+/// Searchers of other zones that are asked in each round while the own zone is cut off.
+const OUTSIDE_PROBES: usize = 2;
+
 /// Longest wait for the answer to a health request.
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Runs for as long as the process does.
 pub async fn keep_up(host: Arc<Host>) {
+    let mut cut_off = false;
     loop {
         tokio::time::sleep(INTERVAL).await;
         let Some(config) = host.config() else {
             continue;
         };
+        let was_cut_off = std::mem::replace(&mut cut_off, host.is_cut_off(now()));
+        if was_cut_off != cut_off {
+            Event::new("zone_cut_off").with("cut_off", cut_off).warn();
+        }
+        if was_cut_off && !cut_off {
+            host.fleet.retry_outside(now());
+        }
+        let mut outside_probes = if cut_off { OUTSIDE_PROBES } else { usize::MAX };
         for (id, service) in host.fleet.services() {
             let Some(spec) = config.services.get(&id) else {
                 continue;
@@ -39,8 +52,14 @@
                     continue;
                 }
                 let suspect = lock(&searcher.health).wants_probe(now());
-                if suspect || searcher.connections() == 0 {
-                    probe(&service, &searcher, limit, suspect.then_some(&spec.health_path));
+                let outside = cut_off && !searcher.local;
+                if outside && outside_probes == 0 {
+                    continue;
+                }
+                if suspect || outside || searcher.connections() == 0 {
+                    outside_probes -= usize::from(outside);
+                    let health = suspect || outside;
+                    probe(&host, &service, &searcher, limit, health.then_some(&spec.health_path));
                 }
             }
         }
@@ -48,17 +67,26 @@
 }
 
 /// Opens a connection, and asks for the searcher's health on it if a path for that is given.
-fn probe(service: &Arc<Service>, searcher: &Arc<Searcher>, limit: usize, path: Option<&String>) {
+fn probe(
+    host: &Arc<Host>,
+    service: &Arc<Service>,
+    searcher: &Arc<Searcher>,
+    limit: usize,
+    path: Option<&String>,
+) {
     if searcher.probed.swap(true, Ordering::Relaxed) {
         return;
     }
-    let Some(lease) = Lease::begin(service, searcher, limit, now()) else {
+    let Some(lease) = Lease::begin(service, searcher, None, limit, now()) else {
         searcher.probed.store(false, Ordering::Relaxed);
         return;
     };
-    let (searcher, path) = (searcher.clone(), path.cloned());
+    let (host, searcher, path) = (host.clone(), searcher.clone(), path.cloned());
     tokio::spawn(async move {
         let healthy = timeout(HEALTH_TIMEOUT, exchange(lease, path)).await.unwrap_or(false);
+        if healthy && !searcher.local {
+            host.note_outside_answer(now());
+        }
         match healthy {
             true => lock(&searcher.health).note_recovered(),
             false => lock(&searcher.health).note_unreachable(now()),
@@ -69,9 +97,9 @@
 
 async fn exchange(mut lease: Lease, path: Option<String>) -> bool {
     let (id, address) = (lease.searcher.entry.id.clone(), lease.searcher.address());
-    let Ok(connection) = lease.connection().await else {
+    if lease.connect().await.is_err() {
         return false;
-    };
+    }
     let Some(path) = path else {
         lease.keep(None);
         return true;
@@ -79,7 +107,7 @@
     let Some(req) = searcher::health_request(&path, &address.to_string()) else {
         return false;
     };
-    let Ok(reply) = connection.send_request(req).await else {
+    let Ok(reply) = lease.exchange(req).await else {
         return false;
     };
     let healthy = searcher::is_healthy(&reply, &id);
--- a/crates/edge/src/query/attempt.rs
+++ b/crates/edge/src/query/attempt.rs
@@ -27,7 +27,7 @@
 const MIN_SILENCE: Duration = Duration::from_millis(250);
 
 /// How long an attempt whose answer is no longer needed may go on, so that its connection is kept.
-const LEFTOVER_TIME: Duration = Duration::from_millis(400);
+const LEFTOVER_TIME: Duration = Duration::from_millis(100);
 
 /// Why an attempt gave no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -74,13 +74,10 @@
 
 async fn run(host: Arc<Host>, plan: Arc<Plan>, mut lease: Lease) -> Outcome {
     let searcher = lease.searcher.clone();
-    let connection = match lease.connection().await {
-        Ok(connection) => connection,
-        Err(_) => {
-            lock(&searcher.health).note_unreachable(now());
-            return failed(Verdict::NotRun, "connect_failed");
-        }
-    };
+    if lease.connect().await.is_err() {
+        lock(&searcher.health).note_unreachable(now());
+        return failed(Verdict::NotRun, "connect_failed");
+    }
     let sent = now();
     let left = plan.deadline.saturating_duration_since(sent);
     if left.is_zero() {
@@ -88,7 +85,7 @@
     }
     let req = searcher::request(&plan.call, &searcher.entry.id, left);
     let patience = silence(&host, &plan).map_or(left, |silence| silence.min(left));
-    let reply = match timeout(patience, connection.send_request(req)).await {
+    let reply = match timeout(patience, lease.exchange(req)).await {
         Ok(Ok(reply)) => reply,
         Err(_) => {
             lock(&searcher.health).note_unreachable(now());
@@ -104,6 +101,9 @@
         }
     };
     let present = now();
+    if !searcher.local {
+        host.note_outside_answer(present);
+    }
     let idle_timeout = searcher::idle_timeout(reply.headers());
     match searcher::read_reply(reply, &plan.call.id) {
         SearcherReply::Ran(answer) => {
--- a/crates/edge/src/query/gather.rs
+++ b/crates/edge/src/query/gather.rs
@@ -17,6 +17,7 @@
 use galenaloft_policy::gathering::Patience;
 use galenaloft_policy::gathering::TopRecords;
 use galenaloft_policy::gathering::Wait;
+use galenaloft_policy::gathering::select_shards;
 use galenaloft_policy::route::Gather;
 
 use crate::clock::now;
@@ -44,6 +45,14 @@
     Group { group: Group, reply: Result<GroupReply, &'static str> },
 }
 
+/// A shard that is asked only if the floor cannot be met without it.
+#[derive(Debug, Clone, Copy)]
+struct LeftOut {
+    index: usize,
+    /// Whether some searcher of it was asked already.
+    asked: bool,
+}
+
 type Task = Pin<Box<dyn Future<Output = Done> + Send>>;
 
 /// Parts that a peer merged.
@@ -69,8 +78,8 @@
     through_peers: Vec<bool>,
     /// Groups whose peer has not answered, with the time when it is overdue.
     waiting: Vec<(Group, Instant)>,
-    /// Shards that a peer's answer left out.
-    left_out: Vec<usize>,
+    /// Shards that were not asked, or that a peer's answer left out.
+    left_out: Vec<LeftOut>,
     may_have_run: bool,
 }
 
@@ -93,26 +102,54 @@
         }
     }
 
-    /// Asks one searcher of every shard directly.
-    pub fn ask_directly(&mut self) {
-        for index in 0..self.gather.shards.len() {
-            self.ask_shard(index, false);
-        }
+    /// Asks one searcher of each shard directly, except for shards that would not answer in time
+    /// and that the floor can do without.
+    pub fn ask_directly(&mut self, min_parts: usize, objective: Instant) {
+        let shards: Vec<usize> = (0..self.gather.shards.len()).collect();
+        self.ask_shards(&shards, min_parts, objective, now());
     }
 
     /// Asks shards without a searcher in the own zone through hosts of theirs, others directly.
-    pub fn ask_by_zone(&mut self, objective: Instant) {
+    pub fn ask_by_zone(&mut self, min_parts: usize, objective: Instant) {
         let present = now();
-        let mut direct = vec![true; self.gather.shards.len()];
-        for group in group::plan(self.host, self.plan, self.gather, present) {
-            group.shards.iter().for_each(|index| direct[*index] = false);
-            self.ask_group(group, objective, present);
+        let groups = group::plan(self.host, self.plan, self.gather, present);
+        let through_peers: Vec<usize> = groups.iter().flat_map(|g| &g.shards).copied().collect();
+        let all = 0..self.gather.shards.len();
+        let direct: Vec<usize> = all.filter(|index| !through_peers.contains(index)).collect();
+        let needed = min_parts.saturating_sub(through_peers.len());
+        let asked = self.ask_shards(&direct, needed, objective, present);
+        // What the direct shards leave of the share that may be missing is left to the groups.
+        let needed = min_parts.saturating_sub(asked);
+        for group in groups {
+            let others = through_peers.len() - group.shards.len();
+            self.ask_group(group, needed.saturating_sub(others), objective, present);
         }
-        for (index, direct) in direct.into_iter().enumerate() {
-            if direct {
-                self.ask_shard(index, false);
+    }
+
+    /// Asks some shards directly. Returns how many.
+    fn ask_shards(
+        &mut self,
+        shards: &[usize],
+        min_parts: usize,
+        objective: Instant,
+        present: Instant,
+    ) -> usize {
+        let prior = self.host.latency(&self.plan.route).median();
+        let expected: Vec<Option<f64>> = shards
+            .iter()
+            .map(|index| self.host.fleet.service(&self.gather.shards[*index]))
+            .map(|service| service.expected(&self.plan.route, prior, present))
+            .collect();
+        let draws: Vec<f64> = shards.iter().map(|_| rand::random()).collect();
+        let time = objective.saturating_duration_since(present);
+        let asked = select_shards(&expected, &draws, min_parts, time);
+        for (index, asked) in shards.iter().zip(&asked) {
+            match asked {
+                true => self.ask_shard(*index, false),
+                false => self.left_out.push(LeftOut { index: *index, asked: false }),
             }
         }
+        asked.iter().filter(|asked| **asked).count()
     }
 
     /// Collects parts until all are there, or patience says to stop. Returns whether the time for
@@ -210,10 +247,10 @@
         }));
     }
 
-    fn ask_group(&mut self, group: Group, objective: Instant, present: Instant) {
+    fn ask_group(&mut self, group: Group, min_parts: usize, objective: Instant, present: Instant) {
         self.open += group.shards.len();
         self.waiting.push((group.clone(), group.overdue_at(self.host, self.plan, present)));
-        let query = group.query(self.plan, self.gather, objective, present);
+        let query = group.query(self.plan, self.gather, min_parts, objective, present);
         let (host, plan) = (self.host.clone(), self.plan.clone());
         self.running.push(Box::pin(async move {
             let reply = host.relays.gather(&group.relay, &plan.route, query).await;
@@ -253,7 +290,7 @@
         let there: Vec<usize> = reply.parts.iter().map(|(place, _)| *place as usize).collect();
         for (place, index) in group.shards.iter().enumerate() {
             if !there.contains(&place) && !self.direct.contains_key(index) {
-                self.left_out.push(*index);
+                self.left_out.push(LeftOut { index: *index, asked: true });
             }
         }
         let mut signatures = Vec::with_capacity(reply.parts.len());
@@ -282,10 +319,10 @@
         }
     }
 
-    /// Asks directly for shards that peers left out, which an answer cannot do without.
+    /// Asks for shards that were left out, since the floor cannot be met without them.
     fn ask_left_out(&mut self) {
-        for index in std::mem::take(&mut self.left_out) {
-            self.ask_shard(index, true);
+        for LeftOut { index, asked } in std::mem::take(&mut self.left_out) {
+            self.ask_shard(index, asked);
         }
     }
 
@@ -300,8 +337,11 @@
 pub async fn gather(host: &Arc<Host>, plan: &Arc<Plan>, gather: &Gather) -> Answer {
     let patience = patience(host, plan);
     let min_parts = gather.min_parts();
+    if host.is_cut_off(plan.arrived) && host.own_shards(gather) < min_parts {
+        return Answer::Refused(BACK_AFTER);
+    }
     let mut gathering = Gathering::new(host, plan, gather);
-    gathering.ask_by_zone(patience.objective());
+    gathering.ask_by_zone(min_parts, patience.objective());
     let expired = gathering.collect(&patience, min_parts).await;
     let parts = gathering.parts();
     if parts >= min_parts {
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -45,6 +45,9 @@
 
 /// Groups the shards that have no sound searcher in the own zone by a zone that has.
 pub fn plan(host: &Host, plan: &Plan, gather: &Gather, now: Instant) -> Vec<Group> {
+    if host.is_cut_off(now) {
+        return Vec::new();
+    }
     let mut remote: BTreeMap<usize, Vec<ZoneId>> = BTreeMap::new();
     for (index, shard) in gather.shards.iter().enumerate() {
         let zones = host.fleet.service(shard).zones();
@@ -92,6 +95,7 @@
         &self,
         plan: &Plan,
         gather: &Gather,
+        min_parts: usize,
         objective: Instant,
         now: Instant,
     ) -> GroupQuery {
@@ -110,6 +114,7 @@
             max_attempts: plan.route.max_attempts,
             target_latency: plan.route.target_latency,
             shards: self.shards.iter().map(|index| gather.shards[*index].clone()).collect(),
+            min_parts,
             top_records: gather.top_records,
             answer_within: objective.saturating_duration_since(now).saturating_sub(WAY_BACK),
             time_left: plan.deadline.saturating_duration_since(now),
@@ -142,7 +147,7 @@
     let plan = Arc::new(Plan::new(call, Arc::new(route), host.config()?, arrived));
     let patience = Patience::new(arrived, query.answer_within, Duration::ZERO, plan.deadline);
     let mut gathering = Gathering::new(host, &plan, &gather);
-    gathering.ask_directly();
+    gathering.ask_directly(query.min_parts, patience.objective());
     // Whatever is there in time is of use to the peer, which has other shards besides.
     gathering.collect(&patience, 1).await;
     (gathering.parts() > 0).then(|| gathering.finish_group())
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -22,6 +22,7 @@
 use crate::query::attempt::AttemptFailure;
 use crate::searchers::Choice;
 use crate::searchers::Lease;
+use crate::searchers::Reach;
 use crate::searchers::Searcher;
 use crate::searchers::Service;
 use crate::sync::lock;
@@ -211,8 +212,12 @@
 
     fn choose(&self, present: Instant) -> Choice {
         let prior = self.host.latency(&self.plan.route).median();
+        let reach = match self.host.is_cut_off(present) {
+            true => Reach::OwnZone,
+            false => Reach::All,
+        };
         let limit = self.limit();
-        self.service.choose(&self.plan.route, prior, &self.tried, limit, present)
+        self.service.choose(&self.plan.route, prior, &self.tried, reach, limit, present)
     }
 
     fn limit(&self) -> usize {
@@ -220,7 +225,9 @@
     }
 
     fn send(&mut self, searcher: &Arc<Searcher>, present: Instant) {
-        let Some(lease) = Lease::begin(&self.service, searcher, self.limit(), present) else {
+        let route = Some(&self.plan.route.name);
+        let lease = Lease::begin(&self.service, searcher, route, self.limit(), present);
+        let Some(lease) = lease else {
             return;
         };
         self.tried.push(searcher.entry.id.clone());
--- a/crates/edge/src/readiness.rs
+++ b/crates/edge/src/readiness.rs
@@ -9,13 +9,18 @@
 use hyper::Request;
 use hyper::StatusCode;
 
+use crate::clock::now;
 use crate::host::Host;
 
 /// Answers the balancer.
 pub async fn answer(host: Arc<Host>, req: Request<Bytes>) -> Reply {
-    match req.uri().path() == READINESS_PATH {
-        true if host.is_ready() => text(StatusCode::OK, "ready"),
-        true => text(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
-        false => text(StatusCode::NOT_FOUND, "no such page"),
+    if req.uri().path() != READINESS_PATH {
+        return text(StatusCode::NOT_FOUND, "no such page");
+    }
+    let not_ready = host.not_ready(now());
+    host.note_readiness(not_ready);
+    match not_ready {
+        None => text(StatusCode::OK, "ready"),
+        Some(why) => text(StatusCode::SERVICE_UNAVAILABLE, format!("not ready: {why:?}")),
     }
 }
--- a/crates/edge/src/searchers/fleet.rs
+++ b/crates/edge/src/searchers/fleet.rs
@@ -27,6 +27,15 @@
     pub freed: Notify,
 }
 
+/// Which searchers can be asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// Those of every zone.
+    All,
+    /// Those of the own zone, which is cut off from the others.
+    OwnZone,
+}
+
 /// What a choice found.
 #[derive(Debug)]
 pub enum Choice {
@@ -44,6 +53,13 @@
         lock(&self.searchers).clone()
     }
 
+    /// Returns the expected latency of the best searcher, or `None` without a usable one.
+    pub fn expected(&self, route: &Route, prior: f64, now: Instant) -> Option<f64> {
+        let searchers = lock(&self.searchers);
+        let usable = searchers.iter().filter(|searcher| searcher.is_usable());
+        usable.map(|searcher| searcher.expected(route, prior, now)).min_by(f64::total_cmp)
+    }
+
     /// Returns the availability zones in which a searcher is expected to answer.
     pub fn zones(&self) -> Vec<ZoneId> {
         let searchers = lock(&self.searchers);
@@ -51,12 +67,18 @@
         sound.map(|searcher| searcher.entry.zone.clone()).collect()
     }
 
+    /// Returns whether some searcher in the own zone may be asked.
+    pub fn is_in_own_zone(&self) -> bool {
+        lock(&self.searchers).iter().any(|searcher| searcher.local && searcher.is_usable())
+    }
+
     /// Chooses a searcher that is not in `tried`.
     pub fn choose(
         &self,
         route: &Route,
         prior: f64,
         tried: &[SearcherId],
+        reach: Reach,
         limit: usize,
         now: Instant,
     ) -> Choice {
@@ -67,6 +89,9 @@
             if !searcher.is_usable() || tried.contains(&searcher.entry.id) {
                 continue;
             }
+            if reach == Reach::OwnZone && !searcher.local {
+                continue;
+            }
             if !searcher.has_room(limit) {
                 full = true;
                 continue;
@@ -111,6 +136,15 @@
         lock(&self.services).iter().map(|(id, service)| (id.clone(), service.clone())).collect()
     }
 
+    /// Lets every searcher of another zone that was unreachable be asked for its health at once.
+    pub fn retry_outside(&self, now: Instant) {
+        for (_, service) in self.services() {
+            for searcher in service.searchers().iter().filter(|searcher| !searcher.local) {
+                lock(&searcher.health).retry(now);
+            }
+        }
+    }
+
     /// Brings the searchers in line with the directory. Those that stay keep what was observed of
     /// them; those that are gone drain.
     pub fn update(&self, directory: &Directory) {
--- a/crates/edge/src/searchers/lease.rs
+++ b/crates/edge/src/searchers/lease.rs
@@ -4,8 +4,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use galenaloft_http::Connection;
 use galenaloft_http::HttpError;
+use galenaloft_policy::ids::RouteName;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
 
 use crate::clock::now;
 use crate::searchers::Searcher;
@@ -22,11 +27,15 @@
     /// The searcher.
     pub searcher: Arc<Searcher>,
     service: Arc<Service>,
+    /// Route of the request, by which latencies are kept; `None` for upkeep.
+    route: Option<RouteName>,
     connection: Option<Connection>,
     /// When the exchange began.
     pub began: Instant,
     /// Whether the connection went back to the pool.
     kept: bool,
+    /// Whether the searcher is waited for.
+    waiting: bool,
 }
 
 impl Lease {
@@ -34,6 +43,7 @@
     pub fn begin(
         service: &Arc<Service>,
         searcher: &Arc<Searcher>,
+        route: Option<&RouteName>,
         limit: usize,
         now: Instant,
     ) -> Option<Self> {
@@ -42,19 +52,38 @@
         Some(Self {
             searcher: searcher.clone(),
             service: service.clone(),
+            route: route.cloned(),
             connection,
             began: now,
             kept: false,
+            waiting: false,
         })
     }
 
-    /// Returns the open connection, which it opens if need be.
-    pub async fn connection(&mut self) -> Result<&mut Connection, HttpError> {
-        let connection = match self.connection.take() {
-            Some(connection) => connection,
-            None => Connection::connect(self.searcher.address(), CONNECT_TIMEOUT).await?,
+    /// Opens the connection unless there is one.
+    pub async fn connect(&mut self) -> Result<(), HttpError> {
+        if self.connection.is_none() {
+            self.waiting = true;
+            let connection = Connection::connect(self.searcher.address(), CONNECT_TIMEOUT).await;
+            self.waiting = false;
+            self.connection = Some(connection?);
+        }
+        Ok(())
+    }
+
+    /// Sends a request and reads the whole reply.
+    pub async fn exchange(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, HttpError> {
+        self.connect().await?;
+        let Some(connection) = self.connection.as_mut() else {
+            return Err(HttpError::NotSent("there is no connection".to_owned()));
         };
-        Ok(self.connection.insert(connection))
+        self.waiting = true;
+        let reply = connection.send_request(req).await;
+        self.waiting = false;
+        reply
     }
 
     /// Ends the exchange with a connection that can carry another request.
@@ -68,7 +97,12 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        lock(&self.searcher.health).note_ended(self.began);
+        let mut health = lock(&self.searcher.health);
+        health.note_ended(self.began);
+        if self.waiting {
+            health.note_unanswered(self.route.as_ref(), self.began, now());
+        }
+        drop(health);
         if !self.kept {
             self.searcher.release();
         }
--- a/crates/edge/src/searchers/mod.rs
+++ b/crates/edge/src/searchers/mod.rs
@@ -6,6 +6,7 @@
 
 pub use fleet::Choice;
 pub use fleet::Fleet;
+pub use fleet::Reach;
 pub use fleet::Service;
 pub use lease::Lease;
 pub use searcher::Searcher;
--- a/crates/edge/src/searchers/searcher.rs
+++ b/crates/edge/src/searchers/searcher.rs
@@ -91,14 +91,22 @@
 
     /// Returns the expected cost of one more attempt.
     pub fn cost(&self, route: &Route, prior: f64, now: Instant) -> f64 {
-        let view = ReplicaView {
+        lock(&self.health).cost(&self.view(route, prior), now)
+    }
+
+    /// Returns the expected latency of one more attempt, in seconds.
+    pub fn expected(&self, route: &Route, prior: f64, now: Instant) -> f64 {
+        lock(&self.health).expected(&self.view(route, prior), now)
+    }
+
+    fn view<'a>(&self, route: &'a Route, prior: f64) -> ReplicaView<'a> {
+        ReplicaView {
             route: &route.name,
             prior,
             objective: route.target_latency,
             local: self.local,
             slots: self.entry.slots,
-        };
-        lock(&self.health).cost(&view, now)
+        }
     }
 
     /// Returns whether a connection is idle or may be opened.
--- a/crates/policy/src/gathering/tests.rs
+++ b/crates/policy/src/gathering/tests.rs
@@ -50,3 +50,41 @@
     assert_eq!(patience.decide(17, 18, deadline), Wait::GiveUp);
     assert_eq!(patience.decide(18, 18, deadline), Wait::Answer);
 }
+
+#[test]
+fn all_shards_are_asked_while_they_answer_in_time() {
+    let expected = [Some(0.01); 4];
+    assert_eq!(select_shards(&expected, &[0.9; 4], 3, 60 * MS), [true; 4]);
+}
+
+#[test]
+fn an_overloaded_shard_is_left_out_by_queries_that_their_floor_allows_to() {
+    let expected = [Some(0.01), Some(0.01), Some(0.3), Some(0.2), None];
+    let asked = select_shards(&expected, &[0.9; 5], 2, 60 * MS);
+    assert_eq!(asked, [true, true, false, false, false]);
+    let asked = select_shards(&expected, &[0.9; 5], 3, 60 * MS);
+    assert_eq!(asked, [true, true, false, true, false]);
+    let explored = select_shards(&expected, &[0.9, 0.9, 0.1, 0.9, 0.1], 2, 60 * MS);
+    assert_eq!(explored, [true, true, true, false, false]);
+}
+
+#[test]
+fn queries_that_need_some_of_several_slow_shards_share_them_out() {
+    // Five of 20 shards are overloaded and each query needs three of them: none gets much more
+    // than its part of three in five.
+    let mut expected = [Some(0.01); 20];
+    expected[..5].fill(Some(0.3));
+    let mut counts = [0_u32; 20];
+    let mut state = 1_u64;
+    for _ in 0..1_000 {
+        let mut draws = [0.0; 20];
+        for draw in &mut draws {
+            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            *draw = (state >> 33) as f64 / f64::from(1_u32 << 31);
+        }
+        let asked = select_shards(&expected, &draws, 18, 60 * MS);
+        assert!(asked.iter().filter(|asked| **asked).count() >= 18);
+        asked.iter().zip(&mut counts).for_each(|(asked, count)| *count += u32::from(*asked));
+    }
+    assert!(counts[..5].iter().all(|count| (500..=700).contains(count)), "{counts:?}");
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ids;
 pub mod membership;
 pub mod queue;
+pub mod readiness;
 pub mod revision;
 pub mod route;
 pub mod routing;
--- a/crates/policy/src/routing/health.rs
+++ b/crates/policy/src/routing/health.rs
@@ -36,6 +36,12 @@
 /// How long a searcher is avoided after it refused for lack of room.
 const FULL_AVOIDANCE: Duration = Duration::from_millis(30);
 
+/// Requests without an answer after which a silent searcher counts as unreachable.
+const MAX_UNANSWERED: u32 = 3;
+
+/// Least silence after which it does: pauses last some 100 ms.
+const MIN_SILENCE: Duration = Duration::from_millis(250);
+
 /// Latencies of so many routes are kept for a searcher.
 const MAX_ROUTES: usize = 32;
 
@@ -48,6 +54,10 @@
     failures: u32,
     avoided_until: Option<Instant>,
     unreachable: bool,
+    /// Requests given up without an answer since the last one.
+    unanswered: u32,
+    /// When the first of these was sent.
+    silent_since: Option<Instant>,
 }
 
 impl SearcherHealth {
@@ -66,6 +76,10 @@
     /// Notes an answer of the searcher.
     pub fn note_answer(&mut self, route: &RouteName, latency: Duration, now: Instant) {
         self.note_recovered();
+        self.record(route, latency, now);
+    }
+
+    fn record(&mut self, route: &RouteName, latency: Duration, now: Instant) {
         if self.latencies.len() >= MAX_ROUTES && !self.latencies.contains_key(route) {
             self.latencies.clear();
         }
@@ -89,6 +103,22 @@
         self.unreachable = true;
     }
 
+    /// Notes that an attempt sent at `sent` was given up without an answer: it would have taken
+    /// longer than that.
+    pub fn note_unanswered(&mut self, route: Option<&RouteName>, sent: Instant, now: Instant) {
+        if let Some(route) = route {
+            self.record(route, now.saturating_duration_since(sent), now);
+        }
+        self.unanswered += 1;
+        let since = *self.silent_since.get_or_insert(sent);
+        let silent = now.saturating_duration_since(since) >= MIN_SILENCE;
+        if self.unanswered >= MAX_UNANSWERED && silent {
+            self.unanswered = 0;
+            self.silent_since = None;
+            self.note_unreachable(now);
+        }
+    }
+
     /// Returns whether the searcher gets no requests.
     pub fn is_unreachable(&self) -> bool {
         self.unreachable
@@ -113,10 +143,18 @@
     /// Notes that the searcher says it is healthy.
     pub fn note_recovered(&mut self) {
         self.failures = 0;
+        self.unanswered = 0;
+        self.silent_since = None;
         self.unreachable = false;
         self.avoided_until = None;
     }
 
+    /// Ends the time for which the searcher is avoided, since the cause of its failures is gone.
+    pub fn retry(&mut self, now: Instant) {
+        self.failures = self.failures.min(1);
+        self.avoided_until = self.avoided_until.map(|until| until.min(now));
+    }
+
     /// Returns whether the searcher failed and it is time to ask whether it is back.
     pub fn wants_probe(&self, now: Instant) -> bool {
         self.failures > 0 && self.avoided_until.is_none_or(|until| now >= until)
@@ -132,11 +170,16 @@
         self.latencies.get(route).map(RecentLatencies::typical)
     }
 
+    /// Returns the expected latency of one more attempt, in seconds, pauses apart.
+    pub fn expected(&self, view: &ReplicaView<'_>, now: Instant) -> f64 {
+        let waiting = (self.running.len() as f64 / f64::from(view.slots.max(1))).floor();
+        self.unloaded(view, now) * (1.0 + waiting)
+    }
+
     /// Returns the expected cost of one more attempt, in seconds; lower is better.
     pub fn cost(&self, view: &ReplicaView<'_>, now: Instant) -> f64 {
-        let latency = self.expected(view, now);
-        let waiting = (self.running.len() as f64 / f64::from(view.slots.max(1))).floor();
-        let mut cost = latency * (1.0 + waiting);
+        let latency = self.unloaded(view, now);
+        let mut cost = self.expected(view, now);
         if !view.local {
             cost += REMOTE_COST * view.objective.as_secs_f64();
         }
@@ -151,7 +194,7 @@
         }
     }
 
-    fn expected(&self, view: &ReplicaView<'_>, now: Instant) -> f64 {
+    fn unloaded(&self, view: &ReplicaView<'_>, now: Instant) -> f64 {
         let prior = view.prior;
         let Some(estimate) = self.latencies.get(view.route) else {
             return prior;
