--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -32,6 +32,7 @@
 
 use crate::clock::now;
 use crate::peers::Knowledge;
+use crate::peers::MIN_HOSTS;
 use crate::peers::Peers;
 use crate::peers::Relays;
 use crate::searchers::Fleet;
@@ -81,6 +82,10 @@
     pub listed: AtomicBool,
     /// Whether a planned stop has begun.
     pub stopping: AtomicBool,
+    /// Hosts among which connections and budgets are shared out.
+    hosts: AtomicUsize,
+    /// Whether the own zone is cut off from the others.
+    cut_off: AtomicBool,
     /// When a searcher in another zone last answered.
     outside_answered: Mutex<Option<Instant>>,
     /// What the balancer was told last.
@@ -112,6 +117,8 @@
             latencies: Mutex::default(),
             listed: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
+            hosts: AtomicUsize::new(MIN_HOSTS),
+            cut_off: AtomicBool::new(false),
             outside_answered: Mutex::new(None),
             told: Mutex::new(Some(NotReady::Uninformed)),
             in_progress: AtomicUsize::new(0),
@@ -139,22 +146,30 @@
     }
 
     /// Returns why the host takes no new callers, or `None` if it does.
-    pub fn not_ready(&self, now: Instant) -> Option<NotReady> {
+    pub fn not_ready(&self) -> Option<NotReady> {
         let config = self.config();
         let ability = Ability {
             informed: config.is_some() && self.listed.load(Ordering::Relaxed),
             stopping: self.is_stopping(),
-            cut_off: self.is_cut_off(now),
+            cut_off: self.is_cut_off(),
             covers_floor: config.is_none_or(|config| self.covers_floor(&config)),
         };
         ability.not_ready()
     }
 
     /// Returns whether the own zone is cut off from the others.
-    pub fn is_cut_off(&self, now: Instant) -> bool {
+    pub fn is_cut_off(&self) -> bool {
+        self.cut_off.load(Ordering::Relaxed)
+    }
+
+    /// Looks at the other hosts again. Returns whether it changed that the zone is cut off.
+    pub fn note_others(&self, now: Instant) -> bool {
+        self.hosts.store(self.peers.count(now), Ordering::Relaxed);
         let host = self.peers.others_heard(now);
         let searcher = *lock(&self.outside_answered);
-        is_cut_off(host.map(|host| searcher.map_or(host, |searcher| host.max(searcher))), now)
+        let heard = host.map(|host| searcher.map_or(host, |searcher| host.max(searcher)));
+        let cut_off = is_cut_off(heard, now);
+        self.cut_off.swap(cut_off, Ordering::Relaxed) != cut_off
     }
 
     /// Notes an answer of a searcher in another zone.
@@ -196,7 +211,7 @@
 
     /// Returns among how many hosts connections and budgets are shared out.
     pub fn hosts(&self) -> usize {
-        self.peers.count(now())
+        self.hosts.load(Ordering::Relaxed)
     }
 
     /// Returns the version of the configuration in force, 0 without one.
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -23,10 +23,10 @@
 use crate::sync::lock;
 
 /// How often one peer is probed.
-const PERIOD: Duration = Duration::from_millis(300);
+const PERIOD: Duration = Duration::from_millis(200);
 
 /// Probes between two of the seeds that are not known as hosts.
-const SEED_EVERY: u32 = 3;
+const SEED_EVERY: u32 = 5;
 
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM: usize = 60 * 1024;
@@ -56,6 +56,12 @@
     }
 }
 
+fn look_at_others(host: &Host) {
+    if host.note_others(now()) {
+        Event::new("zone_cut_off").with("cut_off", host.is_cut_off()).warn();
+    }
+}
+
 async fn receive(
     host: &Host,
     socket: &UdpSocket,
@@ -64,6 +70,7 @@
     sender: SocketAddr,
 ) {
     host.peers.learn(datagram.facts, now());
+    look_at_others(host);
     if datagram.config > host.config_version() {
         // The reader lives as long as the process.
         let _ = heard.send(Heard::Config(datagram.config));
@@ -94,6 +101,7 @@
     loop {
         ticks.tick().await;
         log_changes(lock(&host.peers.table).expire(now()));
+        look_at_others(&host);
         if let Some((target, at)) = asked.take() {
             check(&host, &socket, &target, at).await;
         }
--- a/crates/edge/src/peers/members.rs
+++ b/crates/edge/src/peers/members.rs
@@ -21,7 +21,7 @@
 
 /// Fewest hosts among which connections and budgets are shared out: a host that has just started
 /// knows of none.
-const MIN_HOSTS: usize = 8;
+pub const MIN_HOSTS: usize = 8;
 
 /// How long a host counts after it was last heard of: one beyond a partition still holds its
 /// connections.
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -7,6 +7,7 @@
 mod service;
 
 pub use gossip::run;
+pub use members::MIN_HOSTS;
 pub use members::Peers;
 pub use messages::GroupQuery;
 pub use messages::GroupReply;
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use galenaloft_adapter::searcher;
-use galenaloft_telemetry::log::Event;
 use tokio::time::timeout;
 
 use crate::clock::now;
@@ -27,17 +26,14 @@
 
 /// Runs for as long as the process does.
 pub async fn keep_up(host: Arc<Host>) {
-    let mut cut_off = false;
+    let mut was_cut_off = false;
     loop {
         tokio::time::sleep(INTERVAL).await;
         let Some(config) = host.config() else {
             continue;
         };
-        let was_cut_off = std::mem::replace(&mut cut_off, host.is_cut_off(now()));
-        if was_cut_off != cut_off {
-            Event::new("zone_cut_off").with("cut_off", cut_off).warn();
-        }
-        if was_cut_off && !cut_off {
+        let cut_off = host.is_cut_off();
+        if std::mem::replace(&mut was_cut_off, cut_off) && !cut_off {
             host.fleet.retry_outside(now());
         }
         let mut outside_probes = if cut_off { OUTSIDE_PROBES } else { usize::MAX };
--- a/crates/edge/src/query/attempt.rs
+++ b/crates/edge/src/query/attempt.rs
@@ -27,7 +27,7 @@
 const MIN_SILENCE: Duration = Duration::from_millis(250);
 
 /// How long an attempt whose answer is no longer needed may go on, so that its connection is kept.
-const LEFTOVER_TIME: Duration = Duration::from_millis(100);
+const LEFTOVER_TIME: Duration = Duration::from_millis(150);
 
 /// Why an attempt gave no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/edge/src/query/gather.rs
+++ b/crates/edge/src/query/gather.rs
@@ -337,7 +337,7 @@
 pub async fn gather(host: &Arc<Host>, plan: &Arc<Plan>, gather: &Gather) -> Answer {
     let patience = patience(host, plan);
     let min_parts = gather.min_parts();
-    if host.is_cut_off(plan.arrived) && host.own_shards(gather) < min_parts {
+    if host.is_cut_off() && host.own_shards(gather) < min_parts {
         return Answer::Refused(BACK_AFTER);
     }
     let mut gathering = Gathering::new(host, plan, gather);
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -45,7 +45,7 @@
 
 /// Groups the shards that have no sound searcher in the own zone by a zone that has.
 pub fn plan(host: &Host, plan: &Plan, gather: &Gather, now: Instant) -> Vec<Group> {
-    if host.is_cut_off(now) {
+    if host.is_cut_off() {
         return Vec::new();
     }
     let mut remote: BTreeMap<usize, Vec<ZoneId>> = BTreeMap::new();
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -212,7 +212,7 @@
 
     fn choose(&self, present: Instant) -> Choice {
         let prior = self.host.latency(&self.plan.route).median();
-        let reach = match self.host.is_cut_off(present) {
+        let reach = match self.host.is_cut_off() {
             true => Reach::OwnZone,
             false => Reach::All,
         };
--- a/crates/edge/src/readiness.rs
+++ b/crates/edge/src/readiness.rs
@@ -17,7 +17,8 @@
     if req.uri().path() != READINESS_PATH {
         return text(StatusCode::NOT_FOUND, "no such page");
     }
-    let not_ready = host.not_ready(now());
+    host.note_others(now());
+    let not_ready = host.not_ready();
     host.note_readiness(not_ready);
     match not_ready {
         None => text(StatusCode::OK, "ready"),
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -26,6 +26,9 @@
 /// Largest reply that is read, in bytes.
 const MAX_REPLY: usize = 4 * 1024 * 1024;
 
+/// Read buffer of a connection, in bytes. Most replies fit, and many connections are idle at a time.
+const READ_BUFFER: usize = 2 * 1024;
+
 /// Idle time after which the kernel probes a connection, in seconds resolution of the kernel.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 
@@ -65,7 +68,9 @@
             .map_err(|_| HttpError::Connect(format!("{peer} did not answer")))?
             .map_err(|e| HttpError::Connect(format!("{peer}: {e}")))?;
         prepare(&stream).map_err(|e| HttpError::Connect(format!("{peer}: {e}")))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .read_buf_exact_size(Some(READ_BUFFER))
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| HttpError::Connect(format!("{peer}: {e}")))?;
         let mut driver = JoinSet::new();
