A shard asked through a peer is asked again only where its route allows every searcher

Cause: the peer had asked two of three searchers when its asker, tired of waiting, asked the third. Ruled out: splitting the attempts between the two hosts, which takes the hedge from the peer.

--- a/bin/galenaloft-edge/tests/changes.rs
+++ b/bin/galenaloft-edge/tests/changes.rs
@@ -2,6 +2,7 @@
 
 mod hosts;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -203,3 +204,28 @@
     peer.signal("CONT");
     assert!(whole >= 8, "{whole}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_shard_runs_a_request_on_more_searchers_than_its_route_allows() {
+    let layout = Layout { replicas: 3, ..two_zones() };
+    let scene = Scene::start(&layout).await.unwrap();
+    let _peer = Edge::ready(&scene, "a", 1, 28290).await;
+    let edge = Edge::ready(&scene, "c", 2, 28290).await;
+    sleep(1_500 * MS).await;
+    for _ in 0..5 {
+        edge.get(GATHER_PATH).await;
+    }
+    // The peer hedges and is late all the same, so that its asker takes over.
+    scene.shards.iter().flatten().for_each(|searcher| searcher.set_work(300 * MS));
+    for _ in 0..5 {
+        edge.get(GATHER_PATH).await;
+    }
+    sleep(500 * MS).await;
+    for shard in &scene.shards {
+        let mut counts = BTreeMap::new();
+        for arrival in shard.iter().flat_map(Searcher::arrivals) {
+            *counts.entry(arrival.headers["request-id"].clone()).or_insert(0) += 1;
+        }
+        assert!(counts.values().all(|count| *count <= 2), "{counts:?}");
+    }
+}
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -93,9 +93,12 @@
     }
 
     /// Pays for a request on a shard that was already asked through a peer, and leaves it one
-    /// attempt. Returns whether the budget allowed it.
+    /// attempt. Returns whether the budget and the route allow it: the peer may have asked any of
+    /// the searchers, and no others may be left.
     pub fn spend_extra(&mut self) -> bool {
-        self.extra = lock(&self.service.budget).spend();
+        let searchers = self.service.searchers().len();
+        let allowed = searchers <= self.plan.route.max_attempts as usize;
+        self.extra = allowed && lock(&self.service.budget).spend();
         self.extra
     }
 
