Quarantine of requests that crash searchers, bounded log, metrics, mended admission

Cause: a request that crashes searchers was sent again by every host; the log could block and had no bound; Node::search refused a query as not run after its shards had been asked.

--- a/bin/galenaloft-edge/src/main.rs
+++ b/bin/galenaloft-edge/src/main.rs
@@ -12,6 +12,9 @@
 
 use crate::error::EdgeError;
 
+/// Log lines of each event in a second: a flood of one kind leaves room for the others.
+const LOG_LINES: u32 = 20;
+
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
@@ -29,7 +32,7 @@
         println!("The settings of host {} are valid.", settings.host);
         return Ok(());
     }
-    log::init(Level::Info)?;
+    log::init_bounded(Level::Info, LOG_LINES)?;
     // The hosts have a fraction of one core: more threads would only cost memory.
     let runtime = Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(galenaloft_edge::serve(settings, flags.settings))?;
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -1,7 +1,6 @@
 //! What the tasks of one host share.
 
 use std::collections::BTreeMap;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -17,6 +16,8 @@
 use galenaloft_policy::ids::RouteName;
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::ids::StoreRevision;
+use galenaloft_policy::quarantine::Crash;
+use galenaloft_policy::quarantine::Quarantine;
 use galenaloft_policy::readiness::Ability;
 use galenaloft_policy::readiness::NotReady;
 use galenaloft_policy::readiness::is_cut_off;
@@ -28,6 +29,7 @@
 use galenaloft_policy::route::WeightedService;
 use galenaloft_policy::routing::LatencyEstimate;
 use galenaloft_telemetry::log::Event;
+use galenaloft_telemetry::metrics::Metrics;
 use tokio::sync::watch;
 
 use crate::clock::now;
@@ -63,8 +65,6 @@
 pub struct Host {
     /// Settings of the process.
     pub settings: EdgeSettings,
-    /// Where the settings were read.
-    pub settings_file: PathBuf,
     /// The searchers.
     pub fleet: Fleet,
     /// The other hosts.
@@ -73,6 +73,10 @@
     pub relays: Relays,
     /// What is known of the store, for hosts that ask.
     pub known: Mutex<Option<Known>>,
+    /// Requests that crash searchers.
+    pub quarantine: Mutex<Quarantine>,
+    /// Counters and latencies.
+    pub metrics: Metrics,
     config: Mutex<Option<Arc<Configuration>>>,
     /// Bounds on callers, by the configuration.
     pub limits: watch::Sender<Limits>,
@@ -96,14 +100,15 @@
 
 impl Host {
     /// Creates the state of a host that knows nothing yet.
-    pub fn new(settings: EdgeSettings, settings_file: PathBuf, incarnation: u64) -> Self {
+    pub fn new(settings: EdgeSettings, incarnation: u64) -> Self {
         Self {
             peers: Peers::new(&settings, incarnation),
             relays: Relays::default(),
             known: Mutex::default(),
             fleet: Fleet::new(settings.zone.clone()),
             settings,
-            settings_file,
+            quarantine: Mutex::default(),
+            metrics: Metrics::default(),
             config: Mutex::new(None),
             limits: watch::channel(Limits {
                 connections: CALLER_CONNECTIONS,
@@ -172,6 +177,18 @@
         self.cut_off.swap(cut_off, Ordering::Relaxed) != cut_off
     }
 
+    /// Notes that a searcher ended while it ran a request. Returns whether that is news.
+    pub fn note_crash(&self, crash: Crash, now: Instant) -> bool {
+        let event = Event::new("searcher_crashed")
+            .with("searcher", &crash.searcher)
+            .with("fingerprint", format!("{:016x}", crash.fingerprint));
+        let new = lock(&self.quarantine).note(crash, now);
+        if new {
+            event.warn();
+        }
+        new
+    }
+
     /// Notes an answer of a searcher in another zone.
     pub fn note_outside_answer(&self, now: Instant) {
         *lock(&self.outside_answered) = Some(now);
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -89,6 +89,9 @@
         Purpose::News(news) => {
             let _ = heard.send(Heard::News(news));
         }
+        Purpose::Crash(crash) => {
+            host.note_crash(crash, now());
+        }
     }
 }
 
@@ -137,12 +140,18 @@
     loop {
         host.peers.to_send.notified().await;
         let news = host.peers.take_news();
+        let crashes = host.peers.take_crashes();
+        let word = news.is_none() && crashes.is_empty();
         for listener in host.peers.listeners() {
-            let purpose = match &news {
-                Some(news) => Purpose::News(news.clone()),
-                None => Purpose::Reply,
-            };
-            send_gossip(&host, &socket, listener, purpose).await;
+            if let Some(news) = &news {
+                send_gossip(&host, &socket, listener, Purpose::News(news.clone())).await;
+            }
+            for crash in &crashes {
+                send_gossip(&host, &socket, listener, Purpose::Crash(crash.clone())).await;
+            }
+            if word {
+                send_gossip(&host, &socket, listener, Purpose::Reply).await;
+            }
         }
     }
 }
--- a/crates/edge/src/peers/members.rs
+++ b/crates/edge/src/peers/members.rs
@@ -1,7 +1,6 @@
 //! What this host believes of the others.
 
 use std::collections::BTreeMap;
-use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -14,6 +13,7 @@
 use galenaloft_policy::membership::HostFact;
 use galenaloft_policy::membership::HostState;
 use galenaloft_policy::membership::MemberTable;
+use galenaloft_policy::quarantine::Crash;
 use galenaloft_telemetry::log::Event;
 
 use crate::peers::StoreNews;
@@ -45,8 +45,9 @@
     /// When each host was last heard of.
     heard: Mutex<BTreeMap<HostId, Instant>>,
     /// Addresses that are asked while none of them is known as a host.
-    seeds: Vec<SocketAddr>,
+    seeds: Mutex<Vec<SocketAddr>>,
     outbox: Mutex<Option<StoreNews>>,
+    crashes: Mutex<Vec<Crash>>,
     /// Wakes the task that sends what is in the outbox.
     pub to_send: tokio::sync::Notify,
 }
@@ -64,16 +65,21 @@
             state: HostState::Alive,
             adopted: Vec::new(),
         };
-        let others = settings.seeds.iter().map(SocketAddr::ip).filter(|ip| *ip != address.ip());
         Self {
             table: Mutex::new(MemberTable::new(own)),
             heard: Mutex::default(),
-            seeds: others.map(|ip: IpAddr| SocketAddr::new(ip, address.port())).collect(),
+            seeds: Mutex::new(seeds_of(settings)),
             outbox: Mutex::new(None),
+            crashes: Mutex::default(),
             to_send: tokio::sync::Notify::new(),
         }
     }
 
+    /// Takes over the seeds of changed settings.
+    pub fn set_seeds(&self, settings: &EdgeSettings) {
+        *lock(&self.seeds) = seeds_of(settings);
+    }
+
     /// Learns facts, of which the first is about the sender.
     pub fn learn(&self, facts: Vec<HostFact>, now: Instant) {
         let mut table = lock(&self.table);
@@ -118,7 +124,7 @@
     pub fn unknown_seeds(&self) -> Vec<SocketAddr> {
         let table = lock(&self.table);
         let known = |seed: &&SocketAddr| table.facts().any(|fact| fact.address == **seed);
-        self.seeds.iter().filter(|seed| !known(seed)).copied().collect()
+        lock(&self.seeds).iter().filter(|seed| !known(seed)).copied().collect()
     }
 
     /// Returns how many hosts, this one included, share connections and budgets.
@@ -187,6 +193,17 @@
         lock(&self.outbox).take()
     }
 
+    /// Tells the others of a crash.
+    pub fn tell_crash(&self, crash: Crash) {
+        lock(&self.crashes).push(crash);
+        self.to_send.notify_one();
+    }
+
+    /// Takes the crashes that are to be told.
+    pub fn take_crashes(&self) -> Vec<Crash> {
+        std::mem::take(&mut *lock(&self.crashes))
+    }
+
     /// States that this host is stopping.
     pub fn leave(&self) {
         lock(&self.table).update_own(HostState::Leaving, Vec::new());
@@ -194,6 +211,13 @@
     }
 }
 
+/// Returns the peer addresses of the seeds: every host has the same port.
+fn seeds_of(settings: &EdgeSettings) -> Vec<SocketAddr> {
+    let own = settings.listen.peers;
+    let others = settings.seeds.iter().map(SocketAddr::ip).filter(|ip| *ip != own.ip());
+    others.map(|ip| SocketAddr::new(ip, own.port())).collect()
+}
+
 /// Logs what changed in the beliefs on hosts.
 pub(super) fn log_changes(changes: impl IntoIterator<Item = Change>) {
     for change in changes {
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -9,6 +9,7 @@
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::ids::StoreRevision;
 use galenaloft_policy::membership::HostFact;
+use galenaloft_policy::quarantine::Crash;
 use galenaloft_policy::route::Configuration;
 use serde::Deserialize;
 use serde::Serialize;
@@ -36,6 +37,8 @@
     Reply,
     /// Tells what was read from the store.
     News(StoreNews),
+    /// Tells that a searcher ended while it ran a request.
+    Crash(Crash),
 }
 
 /// What changed in the store between two revisions.
--- a/crates/edge/src/query/attempt.rs
+++ b/crates/edge/src/query/attempt.rs
@@ -16,6 +16,7 @@
 use crate::clock::now;
 use crate::host::Host;
 use crate::query::Plan;
+use crate::query::suspicion;
 use crate::searchers::Lease;
 use crate::sync::lock;
 
@@ -97,6 +98,7 @@
                 return failed(Verdict::NotRun, "not_sent");
             }
             lock(&searcher.health).note_failure(present);
+            suspicion::check(&host, &plan, &searcher);
             return failed(Verdict::MayHaveRun, "connection_lost");
         }
     };
--- a/crates/edge/src/query/mod.rs
+++ b/crates/edge/src/query/mod.rs
@@ -6,6 +6,7 @@
 mod plan;
 mod shard;
 mod single;
+mod suspicion;
 
 pub use gather::gather;
 pub use group::answer_group;
--- a/crates/edge/src/query/plan.rs
+++ b/crates/edge/src/query/plan.rs
@@ -1,7 +1,6 @@
 //! What is fixed about a request when it arrives.
 
 use std::sync::Arc;
-use std::time::Duration;
 use std::time::Instant;
 
 use galenaloft_adapter::caller::CallerRequest;
@@ -21,6 +20,8 @@
     pub arrived: Instant,
     /// Latest time for an answer.
     pub deadline: Instant,
+    /// Whether searchers crashed while they ran it: it is sent to one at a time.
+    pub suspected: bool,
 }
 
 impl Plan {
@@ -31,8 +32,8 @@
         config: Arc<Configuration>,
         arrived: Instant,
     ) -> Self {
-        let patience = call.patience.unwrap_or(Duration::MAX).min(route.timeout);
-        Self { call, route, config, arrived, deadline: arrived + patience }
+        let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
+        Self { call, route, config, arrived, deadline: arrived + patience, suspected: false }
     }
 
     /// Returns how many connections one host may have to a searcher of the service.
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -161,7 +161,10 @@
     }
 
     fn may_hedge(&self) -> bool {
-        self.plan.route.idempotent && !self.over.load(Ordering::Relaxed) && self.may_try()
+        self.plan.route.idempotent
+            && !self.plan.suspected
+            && !self.over.load(Ordering::Relaxed)
+            && self.may_try()
     }
 
     fn may_try(&self) -> bool {
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -1,6 +1,7 @@
 //! Start and planned stop of the host.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -12,6 +13,7 @@
 use galenaloft_http::Server;
 use galenaloft_http::text;
 use galenaloft_telemetry::log::Event;
+use hyper::StatusCode;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
@@ -48,6 +50,7 @@
 pub async fn serve(settings: EdgeSettings, file: PathBuf) -> Result<(), ServeError> {
     let callers = bind(settings.listen.callers).await?;
     let ready = bind(settings.listen.readiness).await?;
+    let metrics = bind(settings.listen.metrics).await?;
     let calls = bind(settings.listen.peers).await?;
     let datagrams = UdpSocket::bind(settings.listen.peers)
         .await
@@ -58,10 +61,11 @@
     Event::new("started").with("host", &settings.host).with("zone", &settings.zone).info();
     let grace = settings.grace;
     let incarnation = rand::random::<u32>();
-    let host = Arc::new(Host::new(settings, file, generation(incarnation)));
+    let host = Arc::new(Host::new(settings, generation(incarnation)));
     let (stop, stop_rx) = watch::channel(false);
     let front = tokio::spawn(serve_callers(callers, host.clone(), stop_rx.clone()));
     tokio::spawn(serve_readiness(ready, host.clone()));
+    tokio::spawn(serve_metrics(metrics, host.clone()));
     let (heard, heard_rx) = mpsc::unbounded_channel();
     tokio::spawn(store::read(host.clone(), heard_rx));
     tokio::spawn(peers::run(host.clone(), datagrams, heard));
@@ -71,7 +75,7 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = reload.recv() => Event::new("reload").info(),
+            _ = reload.recv() => reload_settings(&host, &file),
         }
     }
     host.stopping.store(true, Ordering::Relaxed);
@@ -88,6 +92,27 @@
     Ok(())
 }
 
+/// Takes over from the settings what may change while the process runs: the seeds.
+fn reload_settings(host: &Host, file: &Path) {
+    match EdgeSettings::load(file) {
+        Ok(settings) => {
+            Event::new("reloaded").with("seeds", settings.seeds.len()).info();
+            host.peers.set_seeds(&settings);
+        }
+        Err(e) => Event::new("reload_refused").with("why", e).error(),
+    }
+}
+
+async fn serve_metrics(listener: TcpListener, host: Arc<Host>) {
+    let (_open, never) = watch::channel(false);
+    let server = Server::plain(listener, READINESS_LIMITS);
+    let answer = move |_| {
+        let page = host.metrics.encode();
+        async move { text(StatusCode::OK, page) }
+    };
+    server.serve(answer, never).await;
+}
+
 async fn serve_callers(listener: TcpListener, host: Arc<Host>, stop: watch::Receiver<bool>) {
     let limits = host.limits.subscribe();
     let server = Server::with_changing_limits(listener, limits, |status, why| text(status, why));
--- a/crates/host/src/gather/search.rs
+++ b/crates/host/src/gather/search.rs
@@ -8,6 +8,8 @@
 use futures::stream::StreamExt;
 use galenaloft_config::sheet::Stragglers;
 use galenaloft_policy::admission::Draw;
+use galenaloft_policy::admission::Gate;
+use galenaloft_policy::admission::gate;
 use galenaloft_policy::attempt::AttemptFailure;
 use galenaloft_policy::attempt::FailureReason;
 use galenaloft_policy::attempt::Operation;
@@ -116,7 +118,12 @@
             if asked.contains(&id) {
                 break;
             }
-            self.check_admitted(plan, &collection.snapshots[&id])?;
+            let admitted = self.is_admitted(plan, &collection.snapshots[&id]);
+            match gate(!asked.is_empty(), admitted) {
+                Gate::Ask => {}
+                Gate::KeepAnswer => break,
+                Gate::Refuse => return Err(RequestError::Shed),
+            }
             asked.push(id);
             plan.trace.note(|| format!("snapshot {id}: chosen"));
             let scatter = self.scatter(plan, id, &collection.snapshots[&id]).await;
@@ -139,13 +146,9 @@
         Err(RequestError::Failed(verdict, why))
     }
 
-    /// Refuses a query that some shard would shed: its other shards would work in vain.
-    fn check_admitted(&self, plan: &Plan, snapshot: &SnapshotSpec) -> Result<(), RequestError> {
-        let beliefs = lock(&self.beliefs);
-        match beliefs.admits(snapshot, plan.kind.rank, plan.draw, now()) {
-            true => Ok(()),
-            false => Err(RequestError::Shed),
-        }
+    /// Returns whether every shard takes a query; the others would work in vain.
+    fn is_admitted(&self, plan: &Plan, snapshot: &SnapshotSpec) -> bool {
+        lock(&self.beliefs).admits(snapshot, plan.kind.rank, plan.draw, now())
     }
 
     pub(crate) fn snapshot_for(
--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -2,10 +2,13 @@
 
 mod controller;
 mod draw;
+mod gate;
 #[cfg(test)]
 mod tests;
 mod told;
 
 pub use controller::AdmissionController;
 pub use draw::Draw;
+pub use gate::Gate;
+pub use gate::gate;
 pub use told::ToldShare;
--- a/crates/policy/src/admission/tests.rs
+++ b/crates/policy/src/admission/tests.rs
@@ -5,6 +5,8 @@
 
 use super::AdmissionController;
 use super::Draw;
+use super::Gate;
+use super::gate;
 
 const IN_ALL: Duration = Duration::from_millis(280);
 
@@ -52,3 +54,11 @@
         !draw.is_below(low) || draw.is_below(high)
     }
 }
+
+#[test]
+fn a_query_that_was_asked_before_is_not_called_not_run() {
+    assert_eq!(gate(false, true), Gate::Ask);
+    assert_eq!(gate(true, true), Gate::Ask);
+    assert_eq!(gate(true, false), Gate::KeepAnswer);
+    assert_eq!(gate(false, false), Gate::Refuse);
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod heartbeat;
 pub mod ids;
 pub mod membership;
+pub mod quarantine;
 pub mod queue;
 pub mod readiness;
 pub mod revision;
--- a/crates/telemetry/src/log/event.rs
+++ b/crates/telemetry/src/log/event.rs
@@ -3,16 +3,19 @@
 use std::fmt::Display;
 use std::fmt::Write;
 
+use crate::log::setup::pass;
+
 /// An event with its fields, written as one line.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
+    name: &'static str,
     line: String,
 }
 
 impl Event {
     /// Starts an event with its name.
-    pub fn new(name: &str) -> Self {
-        Self { line: format!("event={name}") }
+    pub fn new(name: &'static str) -> Self {
+        Self { name, line: format!("event={name}") }
     }
 
     /// Adds a field; a value with spaces, quotes or control characters is quoted.
@@ -31,24 +34,40 @@
         &self.line
     }
 
+    /// Returns the line, unless there are too many of its kind in this second.
+    fn bounded(self) -> Option<String> {
+        match pass(self.name)? {
+            0 => Some(self.line),
+            left_out => Some(self.with("left_out", left_out).line),
+        }
+    }
+
     /// Logs the event for debugging.
     pub fn debug(self) {
-        spdlog::debug!("{}", self.line);
+        if let Some(line) = self.bounded() {
+            spdlog::debug!("{line}");
+        }
     }
 
     /// Logs a change of state.
     pub fn info(self) {
-        spdlog::info!("{}", self.line);
+        if let Some(line) = self.bounded() {
+            spdlog::info!("{line}");
+        }
     }
 
     /// Logs what an operator may have to look at.
     pub fn warn(self) {
-        spdlog::warn!("{}", self.line);
+        if let Some(line) = self.bounded() {
+            spdlog::warn!("{line}");
+        }
     }
 
     /// Logs a failure.
     pub fn error(self) {
-        spdlog::error!("{}", self.line);
+        if let Some(line) = self.bounded() {
+            spdlog::error!("{line}");
+        }
     }
 }
 
