--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -28,6 +28,7 @@
 use galenaloft_policy::route::Target;
 use galenaloft_policy::route::WeightedService;
 use galenaloft_policy::routing::LatencyEstimate;
+use galenaloft_policy::routing::Sharers;
 use galenaloft_telemetry::log::Event;
 use galenaloft_telemetry::metrics::Metrics;
 use tokio::sync::watch;
@@ -87,7 +88,7 @@
     /// Whether a planned stop has begun.
     pub stopping: AtomicBool,
     /// Hosts among which connections and budgets are shared out.
-    hosts: AtomicUsize,
+    sharers: Mutex<Sharers>,
     /// Whether the own zone is cut off from the others.
     cut_off: AtomicBool,
     /// When a searcher in another zone last answered.
@@ -122,7 +123,7 @@
             latencies: Mutex::default(),
             listed: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
-            hosts: AtomicUsize::new(MIN_HOSTS),
+            sharers: Mutex::new(Sharers { all: MIN_HOSTS, in_zone: MIN_HOSTS }),
             cut_off: AtomicBool::new(false),
             outside_answered: Mutex::new(None),
             told: Mutex::new(Some(NotReady::Uninformed)),
@@ -169,7 +170,7 @@
 
     /// Looks at the other hosts again. Returns whether it changed that the zone is cut off.
     pub fn note_others(&self, now: Instant) -> bool {
-        self.hosts.store(self.peers.count(now), Ordering::Relaxed);
+        *lock(&self.sharers) = self.peers.sharers(now);
         let host = self.peers.others_heard(now);
         let searcher = *lock(&self.outside_answered);
         let heard = host.map(|host| searcher.map_or(host, |searcher| host.max(searcher)));
@@ -226,9 +227,9 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// Returns among how many hosts connections and budgets are shared out.
-    pub fn hosts(&self) -> usize {
-        self.hosts.load(Ordering::Relaxed)
+    /// Returns the hosts that share connections and budgets.
+    pub fn sharers(&self) -> Sharers {
+        *lock(&self.sharers)
     }
 
     /// Returns the version of the configuration in force, 0 without one.
--- a/crates/edge/src/peers/members.rs
+++ b/crates/edge/src/peers/members.rs
@@ -14,6 +14,7 @@
 use galenaloft_policy::membership::HostState;
 use galenaloft_policy::membership::MemberTable;
 use galenaloft_policy::quarantine::Crash;
+use galenaloft_policy::routing::Sharers;
 use galenaloft_telemetry::log::Event;
 
 use crate::peers::StoreNews;
@@ -127,11 +128,18 @@
         lock(&self.seeds).iter().filter(|seed| !known(seed)).copied().collect()
     }
 
-    /// Returns how many hosts, this one included, share connections and budgets.
-    pub fn count(&self, now: Instant) -> usize {
+    /// Returns the hosts, this one included, that share connections and budgets.
+    pub fn sharers(&self, now: Instant) -> Sharers {
+        let table = lock(&self.table);
+        let own = &table.own().zone;
         let heard = lock(&self.heard);
-        let recent = heard.values().filter(|at| now.saturating_duration_since(**at) < COUNTED);
-        (recent.count() + 1).max(MIN_HOSTS)
+        let recent = heard.iter().filter(|(_, at)| now.saturating_duration_since(**at) < COUNTED);
+        let (mut all, mut in_zone) = (1, 1);
+        for (host, _) in recent {
+            all += 1;
+            in_zone += usize::from(table.get(host).is_some_and(|fact| fact.zone == *own));
+        }
+        Sharers { all: all.max(MIN_HOSTS), in_zone }
     }
 
     /// Returns how many hosts read the store before this one does.
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use galenaloft_adapter::searcher;
+use galenaloft_policy::routing::ConnectionShare;
 use tokio::time::timeout;
 
 use crate::clock::now;
@@ -41,7 +42,7 @@
             let Some(spec) = config.services.get(&id) else {
                 continue;
             };
-            let limit = (spec.max_connections as usize / host.hosts()).max(1);
+            let share = ConnectionShare::new(spec.max_connections as usize, host.sharers());
             for searcher in service.searchers() {
                 searcher.sweep(now());
                 if searcher.is_draining() {
@@ -52,10 +53,11 @@
                 if outside && outside_probes == 0 {
                     continue;
                 }
-                if suspect || outside || searcher.connections() == 0 {
+                let cold = searcher.connections() == 0 && share.keeps(searcher.local);
+                if suspect || outside || cold {
                     outside_probes -= usize::from(outside);
                     let health = suspect || outside;
-                    probe(&host, &service, &searcher, limit, health.then_some(&spec.health_path));
+                    probe(&host, &service, &searcher, share, health.then_some(&spec.health_path));
                 }
             }
         }
@@ -67,13 +69,13 @@
     host: &Arc<Host>,
     service: &Arc<Service>,
     searcher: &Arc<Searcher>,
-    limit: usize,
+    share: ConnectionShare,
     path: Option<&String>,
 ) {
     if searcher.probed.swap(true, Ordering::Relaxed) {
         return;
     }
-    let Some(lease) = Lease::begin(service, searcher, None, limit, now()) else {
+    let Some(lease) = Lease::begin(service, searcher, None, share, now()) else {
         searcher.probed.store(false, Ordering::Relaxed);
         return;
     };
--- a/crates/edge/src/query/plan.rs
+++ b/crates/edge/src/query/plan.rs
@@ -6,6 +6,8 @@
 use galenaloft_adapter::caller::CallerRequest;
 use galenaloft_policy::route::Configuration;
 use galenaloft_policy::route::Route;
+use galenaloft_policy::routing::ConnectionShare;
+use galenaloft_policy::routing::Sharers;
 
 /// One request with its route under the configuration that it began with.
 #[derive(Debug)]
@@ -36,10 +38,10 @@
         Self { call, route, config, arrived, deadline: arrived + patience, suspected: false }
     }
 
-    /// Returns how many connections one host may have to a searcher of the service.
-    pub fn connection_limit(&self, service: &str, hosts: usize) -> usize {
+    /// Returns what one host may use of the connections to a searcher of the service.
+    pub fn connections(&self, service: &str, sharers: Sharers) -> ConnectionShare {
         let spec = self.config.services.get(service);
-        let all = spec.map_or(hosts, |spec| spec.max_connections as usize);
-        (all / hosts).max(1)
+        let all = spec.map_or(sharers.all, |spec| spec.max_connections as usize);
+        ConnectionShare::new(all, sharers)
     }
 }
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -11,6 +11,7 @@
 use galenaloft_adapter::searcher::SearcherAnswer;
 use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::ids::ServiceId;
+use galenaloft_policy::routing::ConnectionShare;
 use galenaloft_policy::verdict::Verdict;
 
 use crate::clock::now;
@@ -114,7 +115,8 @@
         accept: fn(&SearcherAnswer) -> bool,
     ) -> Result<SearcherAnswer, Missed> {
         if !self.extra {
-            lock(&self.service.budget).note_first(&self.host.settings.extra, self.host.hosts());
+            lock(&self.service.budget)
+                .note_first(&self.host.settings.extra, self.host.sharers().all);
         }
         let mut last: Option<Result<SearcherAnswer, Missed>> = None;
         loop {
@@ -223,17 +225,17 @@
             true => Reach::OwnZone,
             false => Reach::All,
         };
-        let limit = self.limit();
-        self.service.choose(&self.plan.route, prior, &self.tried, reach, limit, present)
+        let share = self.share();
+        self.service.choose(&self.plan.route, prior, &self.tried, reach, share, present)
     }
 
-    fn limit(&self) -> usize {
-        self.plan.connection_limit(&self.service_id, self.host.hosts())
+    fn share(&self) -> ConnectionShare {
+        self.plan.connections(&self.service_id, self.host.sharers())
     }
 
     fn send(&mut self, searcher: &Arc<Searcher>, present: Instant) {
         let route = Some(&self.plan.route.name);
-        let lease = Lease::begin(&self.service, searcher, route, self.limit(), present);
+        let lease = Lease::begin(&self.service, searcher, route, self.share(), present);
         let Some(lease) = lease else {
             return;
         };
--- a/crates/edge/src/searchers/fleet.rs
+++ b/crates/edge/src/searchers/fleet.rs
@@ -11,6 +11,7 @@
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::ids::ZoneId;
 use galenaloft_policy::route::Route;
+use galenaloft_policy::routing::ConnectionShare;
 use galenaloft_policy::routing::ExtraBudget;
 use tokio::sync::Notify;
 
@@ -79,7 +80,7 @@
         prior: f64,
         tried: &[SearcherId],
         reach: Reach,
-        limit: usize,
+        share: ConnectionShare,
         now: Instant,
     ) -> Choice {
         let searchers = lock(&self.searchers);
@@ -92,7 +93,7 @@
             if reach == Reach::OwnZone && !searcher.local {
                 continue;
             }
-            if !searcher.has_room(limit) {
+            if !searcher.has_room(share.limit(searcher.local)) {
                 full = true;
                 continue;
             }
--- a/crates/edge/src/searchers/lease.rs
+++ b/crates/edge/src/searchers/lease.rs
@@ -8,6 +8,7 @@
 use galenaloft_http::Connection;
 use galenaloft_http::HttpError;
 use galenaloft_policy::ids::RouteName;
+use galenaloft_policy::routing::ConnectionShare;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -32,7 +33,9 @@
     connection: Option<Connection>,
     /// When the exchange began.
     pub began: Instant,
-    /// Whether the connection went back to the pool.
+    /// Whether the connection may go back to the pool.
+    keeps: bool,
+    /// Whether it did.
     kept: bool,
     /// Whether the searcher is waited for.
     waiting: bool,
@@ -44,10 +47,10 @@
         service: &Arc<Service>,
         searcher: &Arc<Searcher>,
         route: Option<&RouteName>,
-        limit: usize,
+        share: ConnectionShare,
         now: Instant,
     ) -> Option<Self> {
-        let connection = searcher.take(limit, now)?;
+        let connection = searcher.take(share.limit(searcher.local), now)?;
         lock(&searcher.health).note_sent(now);
         Some(Self {
             searcher: searcher.clone(),
@@ -55,6 +58,7 @@
             route: route.cloned(),
             connection,
             began: now,
+            keeps: share.keeps(searcher.local),
             kept: false,
             waiting: false,
         })
@@ -88,7 +92,8 @@
 
     /// Ends the exchange with a connection that can carry another request.
     pub fn keep(mut self, timeout: Option<Duration>) {
-        if let Some(connection) = self.connection.take().filter(Connection::is_open) {
+        let open = self.connection.take().filter(Connection::is_open);
+        if let Some(connection) = open.filter(|_| self.keeps) {
             self.searcher.keep(connection, timeout, now());
             self.kept = true;
         }
--- a/crates/policy/src/routing/mod.rs
+++ b/crates/policy/src/routing/mod.rs
@@ -8,6 +8,7 @@
 mod ownership;
 mod replica;
 mod retry;
+mod share;
 #[cfg(test)]
 mod tests;
 
@@ -24,3 +25,5 @@
 pub use replica::ReplicaLoad;
 pub use replica::ReplicaTable;
 pub use retry::RetryBudget;
+pub use share::ConnectionShare;
+pub use share::Sharers;
--- a/crates/policy/src/routing/tests.rs
+++ b/crates/policy/src/routing/tests.rs
@@ -81,3 +81,15 @@
     let later = now + Duration::from_secs(120);
     assert_eq!(table.choose(replicas(), later), Some(&ids[0]));
 }
+
+#[test]
+fn connections_go_to_the_hosts_of_the_searchers_zone_when_there_are_too_few_for_all() {
+    let few = ConnectionShare::new(26, Sharers { all: 8, in_zone: 3 });
+    assert_eq!((few.limit(true), few.limit(false)), (3, 3));
+    assert!(few.keeps(true) && few.keeps(false));
+    let many = ConnectionShare::new(60, Sharers { all: 77, in_zone: 26 });
+    assert_eq!((many.limit(true), many.limit(false)), (1, 1));
+    assert!(many.keeps(true) && !many.keeps(false));
+    let all = 26 * many.limit(true);
+    assert!(all <= 60, "{all}");
+}
