--- a/bin/galenaloft-load/src/options.rs
+++ b/bin/galenaloft-load/src/options.rs
@@ -1,11 +1,11 @@
 //! Checked options of the load.
 
-use std::fs;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
 
-use galenaloft_config::reader::ConfigError;
+use galenaloft_config::reader::read_file;
 use galenaloft_config::sheet::Kind;
 use galenaloft_config::sheet::Sheet;
 
@@ -91,11 +91,9 @@
     }
 }
 
-fn load_sheet(path: &PathBuf) -> Result<Sheet, LoadError> {
+fn load_sheet(path: &Path) -> Result<Sheet, LoadError> {
     let file = path.display().to_string();
-    let text = fs::read_to_string(path)
-        .map_err(|e| ConfigError::Unreadable { file: file.clone(), why: e.to_string() })?;
-    Ok(Sheet::parse(&file, &text)?)
+    Ok(Sheet::parse(&file, &read_file(path)?)?)
 }
 
 fn stream(text: &str, sheet: &Sheet) -> Result<Stream, LoadError> {
--- a/bin/galenaloft-standin/src/options.rs
+++ b/bin/galenaloft-standin/src/options.rs
@@ -1,6 +1,5 @@
 //! Checked options and the scene.
 
-use std::fs;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -11,6 +10,7 @@
 use galenaloft_config::reader::Field;
 use galenaloft_config::reader::MapReader;
 use galenaloft_config::reader::parse;
+use galenaloft_config::reader::read_file;
 
 use crate::error::StandinError;
 
@@ -103,18 +103,13 @@
             return Err(StandinError::Seconds(seconds, MAX_SECONDS));
         }
         let file = path.display().to_string();
-        let scene = Scene::parse(&file, &read(path)?)?;
+        let scene = Scene::parse(&file, &read_file(path)?)?;
         let base = path.parent().unwrap_or(Path::new("."));
-        let sheet = read(&base.join(&scene.sheet))?;
+        let sheet = read_file(&base.join(&scene.sheet))?;
         Ok(Self { scene, sheet, life: Duration::from_secs(seconds) })
     }
 }
 
-fn read(path: &Path) -> Result<String, ConfigError> {
-    let file = path.display().to_string();
-    fs::read_to_string(path).map_err(|e| ConfigError::Unreadable { file, why: e.to_string() })
-}
-
 impl Scene {
     fn parse(file: &str, text: &str) -> Result<Self, ConfigError> {
         let document = parse(file, text)?;
--- a/bin/galenaloft/src/cli.rs
+++ b/bin/galenaloft/src/cli.rs
@@ -34,6 +34,13 @@
             /// Identity of the request, as in its answer.
             required request: String
         }
+        /// Reads logs of edge hosts: the story of one request, or the causes of all that failed.
+        cmd logs {
+            /// Log files of any number of hosts; standard input if none is given.
+            repeated files: PathBuf
+            /// Identity of the request.
+            optional --request request: String
+        }
         /// Starts a planned stop of a host.
         cmd drain {
             /// Operators' address of the host.
--- a/bin/galenaloft/src/command/check.rs
+++ b/bin/galenaloft/src/command/check.rs
@@ -1,9 +1,9 @@
 //! Checking a sheet before it is published.
 
-use std::fs;
 use std::path::Path;
 
 use galenaloft_config::reader::ConfigError;
+use galenaloft_config::reader::read_file;
 use galenaloft_config::sheet::Sheet;
 use galenaloft_config::sheet::diff;
 
@@ -33,7 +33,5 @@
 
 fn load(path: &Path) -> Result<Sheet, ConfigError> {
     let file = path.display().to_string();
-    let text = fs::read_to_string(path)
-        .map_err(|e| ConfigError::Unreadable { file: file.clone(), why: e.to_string() })?;
-    Sheet::parse(&file, &text)
+    Sheet::parse(&file, &read_file(path)?)
 }
--- a/bin/galenaloft/src/command/completions.rs
+++ b/bin/galenaloft/src/command/completions.rs
@@ -3,10 +3,11 @@
 use crate::options::Shell;
 
 /// Commands and their options.
-const COMMANDS: [(&str, &str, &str); 9] = [
+const COMMANDS: [(&str, &str, &str); 10] = [
     ("check", "Checks a sheet before it is published", "--against"),
     ("status", "Shows what hosts are doing", "--json --watch"),
     ("explain", "Tells why a request got its answer", ""),
+    ("logs", "Reads logs of edge hosts", "--request"),
     ("drain", "Starts a planned stop of a host", ""),
     ("search", "Searches a collection", "--limit"),
     ("fetch", "Fetches one entry by its key", ""),
--- a/bin/galenaloft/src/command/mod.rs
+++ b/bin/galenaloft/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod ask;
 mod check;
 mod completions;
+mod logs;
 mod status;
 
 use tokio::runtime::Builder;
@@ -18,6 +19,7 @@
             print!("{}", completions::script(shell));
             Ok(())
         }
+        Command::Logs { files, request } => logs::logs(&files, request.as_deref()),
         command => Builder::new_current_thread().enable_all().build()?.block_on(remote(command)),
     }
 }
@@ -30,6 +32,6 @@
         Command::Search { host, kind, query, limit } => ask::search(host, kind, query, limit).await,
         Command::Fetch { host, kind, key } => ask::fetch(host, kind, key).await,
         Command::Submit(args) => ask::submit(args).await,
-        Command::Check { .. } | Command::Completions(_) => Ok(()),
+        Command::Check { .. } | Command::Completions(_) | Command::Logs { .. } => Ok(()),
     }
 }
--- a/bin/galenaloft/src/options.rs
+++ b/bin/galenaloft/src/options.rs
@@ -58,6 +58,8 @@
     Status { hosts: Vec<SocketAddr>, format: StatusFormat },
     /// Tell the decisions of a request.
     Explain { host: SocketAddr, request: String },
+    /// Read logs.
+    Logs { files: Vec<PathBuf>, request: Option<String> },
     /// Start a planned stop.
     Drain { host: SocketAddr },
     /// Search a collection.
@@ -82,6 +84,7 @@
                 Self::Status { hosts: c.hosts, format: status_format(c.json, c.watch)? }
             }
             GalenaloftCmd::Explain(c) => Self::Explain { host: c.host, request: c.request },
+            GalenaloftCmd::Logs(c) => Self::Logs { files: c.files, request: c.request },
             GalenaloftCmd::Drain(c) => Self::Drain { host: c.host },
             GalenaloftCmd::Search(c) => {
                 let limit = c.limit.unwrap_or(0);
--- a/crates/config/src/edge/model.rs
+++ b/crates/config/src/edge/model.rs
@@ -1,6 +1,5 @@
 //! The settings and their defaults.
 
-use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -13,6 +12,7 @@
 use crate::reader::Field;
 use crate::reader::MapReader;
 use crate::reader::parse;
+use crate::reader::read_file;
 
 const MILLISECOND: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
@@ -61,8 +61,7 @@
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
         let file = path.display().to_string();
-        let text = fs::read_to_string(path)
-            .map_err(|e| ConfigError::Unreadable { file: file.clone(), why: e.to_string() })?;
+        let text = read_file(path)?;
         Self::parse(&file, &text)
     }
 
--- a/crates/config/src/reader/map.rs
+++ b/crates/config/src/reader/map.rs
@@ -1,5 +1,8 @@
 //! A mapping whose fields are taken one by one.
 
+use std::fs;
+use std::path::Path;
+
 use marked_yaml::LoaderOptions;
 use marked_yaml::Node;
 
@@ -17,6 +20,14 @@
     known: Vec<String>,
 }
 
+/// Reads a whole text file.
+pub fn read_file(path: &Path) -> Result<String, ConfigError> {
+    fs::read_to_string(path).map_err(|e| ConfigError::Unreadable {
+        file: path.display().to_string(),
+        why: e.to_string(),
+    })
+}
+
 /// Parses a document whose top is a mapping. `file` is used in errors only.
 pub fn parse(file: &str, text: &str) -> Result<Node, ConfigError> {
     let options = LoaderOptions::default().error_on_duplicate_keys(true);
--- a/crates/config/src/reader/mod.rs
+++ b/crates/config/src/reader/mod.rs
@@ -9,3 +9,4 @@
 pub use field::is_name;
 pub use map::MapReader;
 pub use map::parse;
+pub use map::read_file;
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -51,6 +51,13 @@
     address: SocketAddr,
 }
 
+impl Relay {
+    /// Returns the name of the host.
+    pub fn name(&self) -> &HostId {
+        &self.host
+    }
+}
+
 impl Relays {
     /// Chooses the host of a zone that is expected to answer first, unless all failed just now.
     pub fn choose(
--- a/crates/edge/src/query/gather.rs
+++ b/crates/edge/src/query/gather.rs
@@ -19,6 +19,7 @@
 use galenaloft_policy::gathering::Wait;
 use galenaloft_policy::gathering::select_shards;
 use galenaloft_policy::route::Gather;
+use galenaloft_telemetry::log::Event;
 
 use crate::clock::now;
 use crate::clock::sleep_until;
@@ -149,7 +150,16 @@
                 false => self.left_out.push(LeftOut { index: *index, asked: false }),
             }
         }
-        asked.iter().filter(|asked| **asked).count()
+        let count = asked.iter().filter(|asked| **asked).count();
+        if count < shards.len() {
+            Event::new("shards_left_out")
+                .with("request", &self.plan.call.id)
+                .with("asked", count)
+                .with("of", shards.len())
+                .with("needed", min_parts)
+                .info();
+        }
+        count
     }
 
     /// Collects parts until all are there, or patience says to stop. Returns whether the time for
@@ -327,6 +337,12 @@
     }
 
     fn bypass(&mut self, group: &Group) {
+        Event::new("peer_bypassed")
+            .with("request", &self.plan.call.id)
+            .with("peer", group.relay.name())
+            .with("shards", group.shards.len())
+            .with("waited_ms", now().saturating_duration_since(self.plan.arrived).as_millis())
+            .info();
         for index in &group.shards {
             self.ask_shard(*index, true);
         }
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -13,6 +13,7 @@
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::routing::ConnectionShare;
 use galenaloft_policy::verdict::Verdict;
+use galenaloft_telemetry::log::Event;
 
 use crate::clock::now;
 use crate::clock::sleep_until;
@@ -186,8 +187,12 @@
             }
             match self.choose(present) {
                 Choice::Searcher(searcher) => {
-                    if again && !lock(&self.service.budget).spend() {
-                        return Err(Missed::NoSearcher);
+                    if again {
+                        let allowed = lock(&self.service.budget).spend();
+                        self.log("retry", &searcher, allowed, present);
+                        if !allowed {
+                            return Err(Missed::NoSearcher);
+                        }
                     }
                     self.send(&searcher, present);
                     return Ok(());
@@ -214,11 +219,26 @@
         let Choice::Searcher(searcher) = self.choose(present) else {
             return;
         };
-        if !searcher.is_suspect() && lock(&self.service.budget).spend() {
+        let allowed = !searcher.is_suspect() && lock(&self.service.budget).spend();
+        self.log("hedge", &searcher, allowed, present);
+        if allowed {
             self.send(&searcher, present);
         }
     }
 
+    /// Logs the decision to send the request to a further searcher, or not to.
+    fn log(&self, event: &str, searcher: &Searcher, allowed: bool, present: Instant) {
+        let waited = present.saturating_duration_since(self.plan.arrived);
+        Event::new(event)
+            .with("request", &self.plan.call.id)
+            .with("service", &self.service_id)
+            .with("searcher", &searcher.entry.id)
+            .with("own_zone", searcher.local)
+            .with("allowed", allowed)
+            .with("waited_ms", waited.as_millis())
+            .info();
+    }
+
     fn choose(&self, present: Instant) -> Choice {
         let prior = self.host.latency(&self.plan.route).median();
         let reach = match self.host.is_cut_off() {
