--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -42,6 +42,8 @@
 pub struct Relays {
     clients: Mutex<BTreeMap<SocketAddr, EdgePeerClient>>,
     health: Mutex<BTreeMap<HostId, SearcherHealth>>,
+    /// When each peer last answered.
+    answered: Mutex<BTreeMap<HostId, Instant>>,
 }
 
 /// A peer that was chosen for a query.
@@ -90,10 +92,10 @@
         Some((zone, Relay { host, address }))
     }
 
-    /// Returns how long the peer typically takes.
-    pub fn typical(&self, relay: &Relay, route: &Route) -> Option<Duration> {
-        let typical = lock(&self.health).get(&relay.host)?.typical(&route.name)?;
-        Some(Duration::from_secs_f64(typical))
+    /// Returns whether the peer has answered since `then`.
+    pub fn answered_since(&self, relay: &Relay, then: Option<Instant>) -> bool {
+        let answered = lock(&self.answered).get(&relay.host).copied();
+        answered.is_some_and(|answered| then.is_none_or(|then| answered >= then))
     }
 
     /// Asks a peer for the parts of some shards.
@@ -118,6 +120,7 @@
         match reply {
             Ok(Some(Some(reply))) => {
                 let latency = present.saturating_duration_since(began);
+                lock(&self.answered).insert(relay.host.clone(), present);
                 health.note_answer(&route.name, latency, present);
                 Ok(reply)
             }
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -31,8 +31,8 @@
 /// Part of the time to the objective after which a peer that has not answered is passed over.
 const PATIENCE_PART: f64 = 0.45;
 
-/// A peer that takes so many times its typical time is passed over.
-const SLOW_PEER: u32 = 3;
+/// A peer whose last answer is no older than this is alive.
+const RECENTLY: Duration = Duration::from_millis(200);
 
 /// Shards that are asked through one peer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -85,9 +85,11 @@
     /// Returns when the peer is overdue.
     pub fn overdue_at(&self, host: &Host, plan: &Plan, now: Instant) -> Instant {
         let objective = plan.arrived + plan.route.target_latency;
-        let latest = objective.saturating_duration_since(now).mul_f64(PATIENCE_PART);
-        let usual = host.relays.typical(&self.relay, &plan.route);
-        now + usual.map_or(latest, |usual| (usual * SLOW_PEER).min(latest))
+        // A peer that answers others waits for its own slow searchers: asking them twice is no help.
+        if host.relays.answered_since(&self.relay, now.checked_sub(RECENTLY)) {
+            return objective;
+        }
+        now + objective.saturating_duration_since(now).mul_f64(PATIENCE_PART)
     }
 
     /// Builds the query for the peer.
