Shards of a wide query are shared out among the hosts of a zone in a large fleet

Cause: 90 parts cost a host with 0.12 cores more time than the objective, and 77 hosts that opened connections before they knew of each other went over every searcher's cap.

--- a/crates/edge/src/peers/members.rs
+++ b/crates/edge/src/peers/members.rs
@@ -121,6 +121,11 @@
         lock(&self.heard).get(host).is_some_and(|at| *at >= then)
     }
 
+    /// Returns whether some other host is known.
+    pub fn knows_others(&self) -> bool {
+        lock(&self.table).facts().nth(1).is_some()
+    }
+
     /// Returns the seeds that are not known as hosts.
     pub fn unknown_seeds(&self) -> Vec<SocketAddr> {
         let table = lock(&self.table);
@@ -133,11 +138,16 @@
         let table = lock(&self.table);
         let own = &table.own().zone;
         let heard = lock(&self.heard);
-        let recent = heard.iter().filter(|(_, at)| now.saturating_duration_since(**at) < COUNTED);
-        let (mut all, mut in_zone) = (1, 1);
-        for (host, _) in recent {
+        let recently = |host: &HostId| {
+            heard.get(host).is_some_and(|at| now.saturating_duration_since(*at) < COUNTED)
+        };
+        let working = |fact: &&HostFact| {
+            matches!(fact.state, HostState::Alive | HostState::Suspect) || recently(&fact.host)
+        };
+        let (mut all, mut in_zone) = (0, 0);
+        for fact in table.facts().filter(working) {
             all += 1;
-            in_zone += usize::from(table.get(host).is_some_and(|fact| fact.zone == *own));
+            in_zone += usize::from(fact.zone == *own);
         }
         Sharers { all: all.max(MIN_HOSTS), in_zone }
     }
@@ -171,6 +181,11 @@
         there.map(|fact| (fact.host.clone(), fact.address)).collect()
     }
 
+    /// Returns the availability zone of a host.
+    pub fn zone_of(&self, host: &HostId) -> Option<ZoneId> {
+        lock(&self.table).get(host).map(|fact| fact.zone.clone())
+    }
+
     /// Returns live hosts to ask for what they know, those of the own zone first.
     pub fn to_ask(&self) -> Vec<SocketAddr> {
         let table = lock(&self.table);
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -8,7 +8,6 @@
 use std::time::Instant;
 
 use galenaloft_policy::ids::HostId;
-use galenaloft_policy::ids::ZoneId;
 use galenaloft_policy::route::Route;
 use galenaloft_policy::routing::ReplicaView;
 use galenaloft_policy::routing::SearcherHealth;
@@ -24,7 +23,6 @@
 use crate::peers::GroupQuery;
 use crate::peers::GroupReply;
 use crate::peers::Knowledge;
-use crate::peers::Peers;
 use crate::peers::service::EdgePeerClient;
 use crate::sync::lock;
 
@@ -61,15 +59,14 @@
 }
 
 impl Relays {
-    /// Chooses the host of a zone that is expected to answer first, unless all failed just now.
+    /// Chooses the host that is expected to answer first, unless all failed just now.
     pub fn choose(
         &self,
-        peers: &Peers,
-        zones: &[ZoneId],
+        hosts: impl Iterator<Item = (HostId, SocketAddr)>,
         route: &Route,
         prior: f64,
         now: Instant,
-    ) -> Option<(ZoneId, Relay)> {
+    ) -> Option<Relay> {
         let health = lock(&self.health);
         let view = ReplicaView {
             route: &route.name,
@@ -83,13 +80,9 @@
             Some(health) => Some(health.cost(&view, now)),
             None => Some(prior),
         };
-        let hosts = zones.iter().flat_map(|zone| {
-            peers.of_zone(zone).into_iter().map(|(host, address)| (zone.clone(), host, address))
-        });
-        let usable = hosts.filter_map(|found| cost(&found.1).map(|cost| (cost, found)));
-        let best = usable.min_by(|a, b| a.0.total_cmp(&b.0))?;
-        let (_, (zone, host, address)) = best;
-        Some((zone, Relay { host, address }))
+        let usable = hosts.filter_map(|found| cost(&found.0).map(|cost| (cost, found)));
+        let (_, (host, address)) = usable.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        Some(Relay { host, address })
     }
 
     /// Returns whether the peer has answered since `then`.
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -19,6 +19,10 @@
 /// Time between two rounds.
 const INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time after the start from which a host that has heard of no other takes itself to be the only
+/// one. Until then it cannot tell its share of a searcher's connections.
+const ALONE: Duration = Duration::from_secs(2);
+
 /// Searchers of other zones that are asked in each round while the own zone is cut off.
 const OUTSIDE_PROBES: usize = 2;
 
@@ -28,6 +32,7 @@
 /// Runs for as long as the process does.
 pub async fn keep_up(host: Arc<Host>) {
     let mut was_cut_off = false;
+    let started = now();
     loop {
         tokio::time::sleep(INTERVAL).await;
         let Some(config) = host.config() else {
@@ -37,6 +42,8 @@
         if std::mem::replace(&mut was_cut_off, cut_off) && !cut_off {
             host.fleet.retry_outside(now());
         }
+        let alone = now().saturating_duration_since(started) >= ALONE;
+        let informed = alone || host.peers.knows_others();
         let mut outside_probes = if cut_off { OUTSIDE_PROBES } else { usize::MAX };
         for (id, service) in host.fleet.services() {
             let Some(spec) = config.services.get(&id) else {
@@ -53,7 +60,7 @@
                 if outside && outside_probes == 0 {
                     continue;
                 }
-                let cold = searcher.connections() == 0 && share.keeps(searcher.local);
+                let cold = searcher.connections() == 0 && share.keeps(searcher.local) && informed;
                 if suspect || outside || cold {
                     outside_probes -= usize::from(outside);
                     let health = suspect || outside;
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -9,10 +9,12 @@
 
 use galenaloft_adapter::caller::CallerRequest;
 use galenaloft_policy::gathering::Patience;
+use galenaloft_policy::ids::HostId;
 use galenaloft_policy::ids::ZoneId;
 use galenaloft_policy::route::Gather;
 use galenaloft_policy::route::Route;
 use galenaloft_policy::route::Target;
+use galenaloft_policy::routing::ranking;
 
 use crate::clock::now;
 use crate::host::Host;
@@ -22,6 +24,12 @@
 use crate::query::Plan;
 use crate::query::gather::Gathering;
 
+/// Shards that are at home with the same hosts.
+const BUCKET: usize = 9;
+
+/// Hosts of a zone that a bucket of shards is at home with: one may fail and one be busy.
+const HOMES: usize = 3;
+
 /// Fewest shards that are worth a call to a peer.
 const MIN_GROUP: usize = 3;
 
@@ -43,11 +51,58 @@
     pub shards: Vec<usize>,
 }
 
-/// Groups the shards that have no sound searcher in the own zone by a zone that has.
+/// Groups the shards that are not asked directly: those without a sound searcher in the own zone,
+/// and in a large fleet those that other hosts of the zone are at home with.
 pub fn plan(host: &Host, plan: &Plan, gather: &Gather, now: Instant) -> Vec<Group> {
-    if host.is_cut_off() {
-        return Vec::new();
+    let mut groups = match host.is_cut_off() {
+        true => Vec::new(),
+        false => other_zones(host, plan, gather, now),
+    };
+    let share = gather.shards.first().map(|shard| plan.connections(shard, host.sharers()));
+    if share.is_some_and(|share| !share.keeps_other_zone) {
+        let taken: Vec<usize> = groups.iter().flat_map(|group| &group.shards).copied().collect();
+        groups.extend(own_zone(host, plan, gather, &taken, now));
+    }
+    groups
+}
+
+/// Shares the shards of the own zone out among its hosts. A searcher accepts too few connections for
+/// all hosts to use it often, and one host's processor is too slow for a wide query.
+fn own_zone(
+    host: &Host,
+    plan: &Plan,
+    gather: &Gather,
+    taken: &[usize],
+    now: Instant,
+) -> Vec<Group> {
+    let own = (host.settings.host.clone(), host.settings.listen.peers);
+    let mut hosts = host.peers.of_zone(&host.settings.zone);
+    hosts.push(own.clone());
+    let names: Vec<HostId> = hosts.iter().map(|(name, _)| name.clone()).collect();
+    let prior = host.latency(&plan.route).median();
+    let mut groups = Vec::new();
+    for (bucket, shards) in gather.shards.chunks(BUCKET).enumerate() {
+        let homes: Vec<&HostId> =
+            ranking(&shards[0], names.iter()).into_iter().take(HOMES).collect();
+        if homes.contains(&&own.0) {
+            continue;
+        }
+        let at_home = hosts.iter().filter(|(name, _)| homes.contains(&name)).cloned();
+        let indexes = (bucket * BUCKET..bucket * BUCKET + shards.len())
+            .filter(|index| !taken.contains(index));
+        let shards: Vec<usize> = indexes.collect();
+        if shards.len() < MIN_GROUP {
+            continue;
+        }
+        if let Some(relay) = host.relays.choose(at_home, &plan.route, prior, now) {
+            groups.push(Group { relay, shards });
+        }
     }
+    groups
+}
+
+/// Groups the shards that have no sound searcher in the own zone by a zone that has.
+fn other_zones(host: &Host, plan: &Plan, gather: &Gather, now: Instant) -> Vec<Group> {
     let mut remote: BTreeMap<usize, Vec<ZoneId>> = BTreeMap::new();
     for (index, shard) in gather.shards.iter().enumerate() {
         let zones = host.fleet.service(shard).zones();
@@ -68,8 +123,11 @@
         let best = counts.iter().filter(|(_, count)| **count == most);
         let zones: Vec<ZoneId> = best.map(|(zone, _)| (*zone).clone()).collect();
         let prior = host.latency(&plan.route).median();
-        let chosen = host.relays.choose(&host.peers, &zones, &plan.route, prior, now);
-        let Some((zone, relay)) = chosen else {
+        let there = zones.iter().flat_map(|zone| host.peers.of_zone(zone));
+        let Some(relay) = host.relays.choose(there, &plan.route, prior, now) else {
+            break;
+        };
+        let Some(zone) = host.peers.zone_of(relay.name()) else {
             break;
         };
         let there =
--- a/crates/policy/src/routing/share.rs
+++ b/crates/policy/src/routing/share.rs
@@ -2,7 +2,7 @@
 
 /// Part of a searcher's connections that the hosts of its own zone share out when all hosts together
 /// cannot have one each. The rest serves hosts of other zones that need it for one request.
-const OWN_ZONE_PART: f64 = 0.8;
+const OWN_ZONE_PART: f64 = 0.9;
 
 /// Hosts that share a searcher's connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
