Time to merge grows with the parts; a peer has half of the time and answers with half of its shards

Cause: hosts with 0.12 cores need 10 ms to read and merge 90 parts, so that groups and answers came just after the objective.

--- a/crates/edge/src/query/gather.rs
+++ b/crates/edge/src/query/gather.rs
@@ -32,8 +32,11 @@
 use crate::query::shard::Missed;
 use crate::query::shard::ShardQuery;
 
-/// Time to merge the parts and to write the answer.
-const MERGE_TIME: Duration = Duration::from_millis(4);
+/// Time to write an answer on a host with a quarter of a core.
+const WRITE_TIME: Duration = Duration::from_millis(2);
+
+/// Time to read and merge one part there: a part takes some 30 us of a whole core.
+const PART_TIME: Duration = Duration::from_micros(100);
 
 /// When a caller that got no answer may come back.
 const BACK_AFTER: Duration = Duration::from_millis(300);
@@ -237,6 +240,11 @@
     }
 
     fn leave_rest(&mut self) {
+        // A peer answers with what it has before the objective: one that has not is in trouble.
+        let present = now();
+        for (group, _) in self.waiting.iter().filter(|(_, overdue)| *overdue <= present) {
+            self.host.relays.note_overdue(&group.relay, present);
+        }
         self.over.store(true, Ordering::Relaxed);
         let running = std::mem::take(&mut self.running);
         if !running.is_empty() {
@@ -259,7 +267,7 @@
 
     fn ask_group(&mut self, group: Group, min_parts: usize, objective: Instant, present: Instant) {
         self.open += group.shards.len();
-        self.waiting.push((group.clone(), group.overdue_at(self.host, self.plan, present)));
+        self.waiting.push((group.clone(), group.overdue_at(self.host, objective, present)));
         let query = group.query(self.plan, self.gather, min_parts, objective, present);
         let (host, plan) = (self.host.clone(), self.plan.clone());
         self.running.push(Box::pin(async move {
@@ -351,7 +359,7 @@
 
 /// Asks one searcher of each shard and merges the parts that come in time.
 pub async fn gather(host: &Arc<Host>, plan: &Arc<Plan>, gather: &Gather) -> Answer {
-    let patience = patience(host, plan);
+    let patience = patience(host, plan, gather);
     let min_parts = gather.min_parts();
     if host.is_cut_off() && host.own_shards(gather) < min_parts {
         return Answer::Refused(BACK_AFTER);
@@ -376,10 +384,15 @@
     answer.status.is_success()
 }
 
-fn patience(host: &Host, plan: &Plan) -> Patience {
+/// Returns the time that a host needs to merge and write an answer of so many parts.
+pub fn merge_time(shards: usize) -> Duration {
+    WRITE_TIME + PART_TIME * u32::try_from(shards).unwrap_or(u32::MAX)
+}
+
+fn patience(host: &Host, plan: &Plan, gather: &Gather) -> Patience {
     let round_trip = host.settings.caller_round_trip;
     // Opening a connection takes a caller one more round trip.
     let connects = if plan.call.first_on_connection { round_trip } else { Duration::ZERO };
-    let way = round_trip + connects + MERGE_TIME;
+    let way = round_trip + connects + merge_time(gather.shards.len());
     Patience::new(plan.arrived, plan.route.target_latency, way, plan.deadline)
 }
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -23,6 +23,7 @@
 use crate::peers::Relay;
 use crate::query::Plan;
 use crate::query::gather::Gathering;
+use crate::query::gather::merge_time;
 
 /// Shards that are at home with the same hosts.
 const BUCKET: usize = 9;
@@ -33,14 +34,14 @@
 /// Fewest shards that are worth a call to a peer.
 const MIN_GROUP: usize = 3;
 
-/// Time that a peer's answer needs to be read and merged, and its way back.
-const WAY_BACK: Duration = Duration::from_millis(5);
+/// Time that a peer's answer needs on its way back, whatever its size.
+const WAY_BACK: Duration = Duration::from_millis(3);
 
 /// Part of the time to the objective after which a peer that has not answered is passed over.
 const PATIENCE_PART: f64 = 0.45;
 
 /// A peer whose last answer is no older than this is alive.
-const RECENTLY: Duration = Duration::from_millis(200);
+const RECENTLY: Duration = Duration::from_secs(2);
 
 /// Shards that are asked through one peer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -141,8 +142,7 @@
 
 impl Group {
     /// Returns when the peer is overdue.
-    pub fn overdue_at(&self, host: &Host, plan: &Plan, now: Instant) -> Instant {
-        let objective = plan.arrived + plan.route.target_latency;
+    pub fn overdue_at(&self, host: &Host, objective: Instant, now: Instant) -> Instant {
         // A peer that answers others waits for its own slow searchers: asking them twice is no help.
         if host.relays.answered_since(&self.relay, now.checked_sub(RECENTLY)) {
             return objective;
@@ -176,12 +176,18 @@
             shards: self.shards.iter().map(|index| gather.shards[*index].clone()).collect(),
             min_parts,
             top_records: gather.top_records,
-            answer_within: objective.saturating_duration_since(now).saturating_sub(WAY_BACK),
+            answer_within: answer_within(objective.saturating_duration_since(now), gather),
             time_left: plan.deadline.saturating_duration_since(now),
         }
     }
 }
 
+/// Returns how much of the time to the objective a peer has for its part.
+fn answer_within(time: Duration, gather: &Gather) -> Duration {
+    let back = WAY_BACK + merge_time(gather.shards.len());
+    time.saturating_sub(back).max(time / 2)
+}
+
 /// Answers a query of a peer on the shards that it names.
 pub async fn answer_group(host: &Arc<Host>, query: GroupQuery) -> Option<GroupReply> {
     let arrived = now();
@@ -208,7 +214,8 @@
     let patience = Patience::new(arrived, query.answer_within, Duration::ZERO, plan.deadline);
     let mut gathering = Gathering::new(host, &plan, &gather);
     gathering.ask_directly(query.min_parts, patience.objective());
-    // Whatever is there in time is of use to the peer, which has other shards besides.
-    gathering.collect(&patience, 1).await;
+    // What is there in time is of use to the peer, which has other shards besides. With less than
+    // half of them its floor is out of reach, and the rest is worth the wait.
+    gathering.collect(&patience, gather.shards.len().div_ceil(2)).await;
     (gathering.parts() > 0).then(|| gathering.finish_group())
 }
