One clock, one lock and one log of membership for both hosts; dead code out

Ruled out: the same lines in the two settings readers, whose fields differ. Before and after: behaviour is the same; the tests keep their assertions. Conclusion: crates/runtime serves both hosts.

--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -11,14 +11,14 @@
 use galenaloft_policy::quarantine::Danger;
 use galenaloft_policy::quarantine::fingerprint;
 use galenaloft_policy::route::Target;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 use hyper::Request;
 
-use crate::clock::now;
 use crate::host::Host;
 use crate::query;
 use crate::query::Plan;
-use crate::sync::lock;
 
 /// When a caller may come back to a host that knows no configuration yet.
 const NOT_INFORMED: Duration = Duration::from_millis(500);
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -29,17 +29,17 @@
 use galenaloft_policy::route::WeightedService;
 use galenaloft_policy::routing::LatencyEstimate;
 use galenaloft_policy::routing::Sharers;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 use galenaloft_telemetry::metrics::Metrics;
 use tokio::sync::watch;
 
-use crate::clock::now;
 use crate::peers::Knowledge;
 use crate::peers::MIN_HOSTS;
 use crate::peers::Peers;
 use crate::peers::Relays;
 use crate::searchers::Fleet;
-use crate::sync::lock;
 
 /// Connections that callers may open; the platform gives a process some thousand descriptors.
 const CALLER_CONNECTIONS: usize = 2_000;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,7 +4,6 @@
 //! (choice of a searcher, its connections) and back. `store` keeps the configuration and the list
 //! of searchers up to date; `peers` shares that with the other hosts.
 
-mod clock;
 mod error;
 mod front;
 mod host;
@@ -15,7 +14,6 @@
 mod searchers;
 mod serve;
 mod store;
-mod sync;
 
 pub use error::ServeError;
 pub use serve::serve;
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -8,19 +8,19 @@
 
 use galenaloft_policy::membership::HostFact;
 use galenaloft_policy::membership::HostState;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::membership::log_changes;
+use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 
-use crate::clock::now;
 use crate::host::Host;
-use crate::peers::members::log_changes;
 use crate::peers::messages::Datagram;
 use crate::peers::messages::Purpose;
 use crate::store::Heard;
-use crate::sync::lock;
 
 /// How often one peer is probed.
 const PERIOD: Duration = Duration::from_millis(200);
--- a/crates/edge/src/peers/members.rs
+++ b/crates/edge/src/peers/members.rs
@@ -9,16 +9,15 @@
 use galenaloft_config::edge::EdgeSettings;
 use galenaloft_policy::ids::HostId;
 use galenaloft_policy::ids::ZoneId;
-use galenaloft_policy::membership::Change;
 use galenaloft_policy::membership::HostFact;
 use galenaloft_policy::membership::HostState;
 use galenaloft_policy::membership::MemberTable;
 use galenaloft_policy::quarantine::Crash;
 use galenaloft_policy::routing::Sharers;
-use galenaloft_telemetry::log::Event;
+use galenaloft_runtime::membership::log_changes;
+use galenaloft_runtime::sync::lock;
 
 use crate::peers::StoreNews;
-use crate::sync::lock;
 
 /// Fewest hosts among which connections and budgets are shared out: a host that has just started
 /// knows of none.
@@ -155,21 +154,16 @@
     /// Returns how many hosts read the store before this one does.
     pub fn rank(&self) -> usize {
         let table = lock(&self.table);
-        let own = table.own();
-        let all = table.working().count();
-        let shares = |fact: &&HostFact| all <= MAX_SHARED || fact.zone == own.zone;
-        let before = table.working().filter(shares).filter(|fact| fact.host < own.host);
-        before.filter(|fact| fact.state == HostState::Alive).count()
+        let own = &table.own().host;
+        let alive = sharing(&table).filter(|fact| fact.state == HostState::Alive);
+        alive.filter(|fact| fact.host < *own).count()
     }
 
     /// Returns the hosts that hear what this one reads.
     pub fn listeners(&self) -> Vec<SocketAddr> {
         let table = lock(&self.table);
-        let own = table.own();
-        let all = table.working().count();
-        let shares = |fact: &&HostFact| all <= MAX_SHARED || fact.zone == own.zone;
-        let others = table.working().filter(|fact| fact.host != own.host).filter(shares);
-        others.map(|fact| fact.address).collect()
+        let own = &table.own().host;
+        sharing(&table).filter(|fact| fact.host != *own).map(|fact| fact.address).collect()
     }
 
     /// Returns the live hosts of an availability zone.
@@ -234,20 +228,16 @@
     }
 }
 
+/// Returns the working hosts that share what one of them reads of the store.
+fn sharing(table: &MemberTable) -> impl Iterator<Item = &HostFact> {
+    let all = table.working().count();
+    let zone = &table.own().zone;
+    table.working().filter(move |fact| all <= MAX_SHARED || fact.zone == *zone)
+}
+
 /// Returns the peer addresses of the seeds: every host has the same port.
 fn seeds_of(settings: &EdgeSettings) -> Vec<SocketAddr> {
     let own = settings.listen.peers;
     let others = settings.seeds.iter().map(SocketAddr::ip).filter(|ip| *ip != own.ip());
     others.map(|ip| SocketAddr::new(ip, own.port())).collect()
 }
-
-/// Logs what changed in the beliefs on hosts.
-pub(super) fn log_changes(changes: impl IntoIterator<Item = Change>) {
-    for change in changes {
-        Event::new("host_changed")
-            .with("host", &change.host)
-            .with("old", change.old.map_or("unknown".to_owned(), |old| format!("{old:?}")))
-            .with("new", format!("{:?}", change.new))
-            .info();
-    }
-}
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -11,6 +11,8 @@
 use galenaloft_policy::route::Route;
 use galenaloft_policy::routing::ReplicaView;
 use galenaloft_policy::routing::SearcherHealth;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::sync::lock;
 use tarpc::client::Config;
 use tarpc::context;
 use tarpc::context::Context;
@@ -19,12 +21,10 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::clock::now;
 use crate::peers::GroupQuery;
 use crate::peers::GroupReply;
 use crate::peers::Knowledge;
 use crate::peers::service::EdgePeerClient;
-use crate::sync::lock;
 
 /// Longest wait for a connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -7,14 +7,14 @@
 
 use galenaloft_adapter::searcher;
 use galenaloft_policy::routing::ConnectionShare;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::sync::lock;
 use tokio::time::timeout;
 
-use crate::clock::now;
 use crate::host::Host;
 use crate::searchers::Lease;
 use crate::searchers::Searcher;
 use crate::searchers::Service;
-use crate::sync::lock;
 
 /// Time between two rounds.
 const INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/edge/src/query/attempt.rs
+++ b/crates/edge/src/query/attempt.rs
@@ -11,14 +11,14 @@
 use galenaloft_adapter::searcher::SearcherReply;
 use galenaloft_policy::route::Target;
 use galenaloft_policy::verdict::Verdict;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::sync::lock;
 use tokio::time::timeout;
 
-use crate::clock::now;
 use crate::host::Host;
 use crate::query::Plan;
 use crate::query::suspicion;
 use crate::searchers::Lease;
-use crate::sync::lock;
 
 /// A searcher that takes so many times the usual latency of a route has stopped answering; slow ones
 /// take up to twelve times as long.
--- a/crates/edge/src/query/gather.rs
+++ b/crates/edge/src/query/gather.rs
@@ -19,10 +19,10 @@
 use galenaloft_policy::gathering::Wait;
 use galenaloft_policy::gathering::select_shards;
 use galenaloft_policy::route::Gather;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::clock::sleep_until;
 use galenaloft_telemetry::log::Event;
 
-use crate::clock::now;
-use crate::clock::sleep_until;
 use crate::host::Host;
 use crate::peers::GroupReply;
 use crate::query::Plan;
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -15,8 +15,8 @@
 use galenaloft_policy::route::Route;
 use galenaloft_policy::route::Target;
 use galenaloft_policy::routing::ranking;
+use galenaloft_runtime::clock::now;
 
-use crate::clock::now;
 use crate::host::Host;
 use crate::peers::GroupQuery;
 use crate::peers::GroupReply;
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -13,10 +13,11 @@
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::routing::ConnectionShare;
 use galenaloft_policy::verdict::Verdict;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::clock::sleep_until;
+use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 
-use crate::clock::now;
-use crate::clock::sleep_until;
 use crate::host::Host;
 use crate::query::Plan;
 use crate::query::attempt;
@@ -27,7 +28,6 @@
 use crate::searchers::Reach;
 use crate::searchers::Searcher;
 use crate::searchers::Service;
-use crate::sync::lock;
 
 /// Extra requests that hedges leave to retries, which answer a failure and not only slowness.
 const RETRY_RESERVE: f64 = 1.0;
--- a/crates/edge/src/query/suspicion.rs
+++ b/crates/edge/src/query/suspicion.rs
@@ -5,11 +5,11 @@
 
 use galenaloft_policy::quarantine::Crash;
 use galenaloft_policy::quarantine::fingerprint;
+use galenaloft_runtime::clock::now;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::clock::now;
 use crate::host::Host;
 use crate::query::Plan;
 use crate::searchers::Searcher;
--- a/crates/edge/src/readiness.rs
+++ b/crates/edge/src/readiness.rs
@@ -6,10 +6,10 @@
 use galenaloft_adapter::caller::READINESS_PATH;
 use galenaloft_http::Reply;
 use galenaloft_http::text;
+use galenaloft_runtime::clock::now;
 use hyper::Request;
 use hyper::StatusCode;
 
-use crate::clock::now;
 use crate::host::Host;
 
 /// Answers the balancer.
--- a/crates/edge/src/searchers/fleet.rs
+++ b/crates/edge/src/searchers/fleet.rs
@@ -13,10 +13,10 @@
 use galenaloft_policy::route::Route;
 use galenaloft_policy::routing::ConnectionShare;
 use galenaloft_policy::routing::ExtraBudget;
+use galenaloft_runtime::sync::lock;
 use tokio::sync::Notify;
 
 use crate::searchers::Searcher;
-use crate::sync::lock;
 
 /// One service: its searchers and what one host may spend on it.
 #[derive(Debug, Default)]
--- a/crates/edge/src/searchers/lease.rs
+++ b/crates/edge/src/searchers/lease.rs
@@ -9,14 +9,14 @@
 use galenaloft_http::HttpError;
 use galenaloft_policy::ids::RouteName;
 use galenaloft_policy::routing::ConnectionShare;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::sync::lock;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
 
-use crate::clock::now;
 use crate::searchers::Searcher;
 use crate::searchers::Service;
-use crate::sync::lock;
 
 /// Longest wait for a connection: a searcher takes some milliseconds, and a lost packet is sent
 /// again after about a second, by when another searcher has answered.
--- a/crates/edge/src/searchers/searcher.rs
+++ b/crates/edge/src/searchers/searcher.rs
@@ -13,8 +13,7 @@
 use galenaloft_policy::route::Route;
 use galenaloft_policy::routing::ReplicaView;
 use galenaloft_policy::routing::SearcherHealth;
-
-use crate::sync::lock;
+use galenaloft_runtime::sync::lock;
 
 /// A connection is not used in the last part of the idle time that its searcher grants it.
 const IDLE_MARGIN: Duration = Duration::from_millis(600);
--- a/crates/edge/src/store/reader.rs
+++ b/crates/edge/src/store/reader.rs
@@ -14,16 +14,16 @@
 use galenaloft_policy::ids::ConfigVersion;
 use galenaloft_policy::ids::StoreRevision;
 use galenaloft_policy::route::Configuration;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::clock::sleep_until;
+use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 use tokio::sync::mpsc::UnboundedReceiver;
 
-use crate::clock::now;
-use crate::clock::sleep_until;
 use crate::host::Host;
 use crate::host::Known;
 use crate::peers::Knowledge;
 use crate::peers::StoreNews;
-use crate::sync::lock;
 
 /// Longest wait for an answer of the store.
 const PATIENCE: Duration = Duration::from_millis(700);
--- a/crates/host/src/front/answer.rs
+++ b/crates/host/src/front/answer.rs
@@ -5,8 +5,8 @@
 use galenaloft_caller::wire;
 use galenaloft_http::Reply;
 use galenaloft_policy::verdict::Verdict;
+use galenaloft_runtime::clock::now;
 
-use crate::clock::now;
 use crate::edges::Edges;
 use crate::front::reply::reply;
 use crate::front::reply::verdict_name;
--- a/crates/host/src/front/callers.rs
+++ b/crates/host/src/front/callers.rs
@@ -16,13 +16,13 @@
 use galenaloft_policy::attempt::Operation;
 use galenaloft_policy::ticket::Ticket;
 use galenaloft_policy::verdict::Verdict;
+use galenaloft_runtime::clock::now;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 
-use crate::clock::now;
 use crate::edges::Edges;
 use crate::front::answer::answer;
 use crate::front::decode::BadRequest;
--- a/crates/host/src/gather/explain.rs
+++ b/crates/host/src/gather/explain.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::sync::Mutex;
 
-use crate::sync::lock;
+use galenaloft_runtime::sync::lock;
 
 /// Requests whose decisions are kept.
 const KEPT: usize = 1_024;
--- a/crates/host/src/gather/fetch.rs
+++ b/crates/host/src/gather/fetch.rs
@@ -4,8 +4,8 @@
 use galenaloft_policy::catalogue::SnapshotSpec;
 use galenaloft_policy::catalogue::key_hash;
 use galenaloft_policy::verdict::Verdict;
+use galenaloft_runtime::clock::sleep_until;
 
-use crate::clock::sleep_until;
 use crate::edges::Edges;
 use crate::gather::Gathered;
 use crate::gather::RequestError;
--- a/crates/host/src/gather/in_flight.rs
+++ b/crates/host/src/gather/in_flight.rs
@@ -4,11 +4,11 @@
 use std::time::Instant;
 
 use galenaloft_policy::ids::SearcherId;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::sync::lock;
 
-use crate::clock::now;
 use crate::edges::Edges;
 use crate::node::Node;
-use crate::sync::lock;
 
 /// Counts an attempt as in flight until it ends or is given up.
 pub struct InFlight<'a, E: Edges> {
--- a/crates/host/src/gather/kinds.rs
+++ b/crates/host/src/gather/kinds.rs
@@ -11,10 +11,9 @@
 use galenaloft_policy::ids::KindName;
 use galenaloft_policy::routing::HedgePolicy;
 use galenaloft_policy::routing::RetryBudget;
+use galenaloft_runtime::sync::lock;
 use hdrhistogram::Histogram;
 
-use crate::sync::lock;
-
 /// State of one kind.
 #[derive(Debug)]
 pub struct KindState {
--- a/crates/host/src/gather/route.rs
+++ b/crates/host/src/gather/route.rs
@@ -15,12 +15,12 @@
 use galenaloft_policy::membership::HostFact;
 use galenaloft_policy::membership::MemberTable;
 use galenaloft_policy::routing::owner_of;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::sync::lock;
 
-use crate::clock::now;
 use crate::edges::Edges;
 use crate::node::Node;
 use crate::owner::LATE_REPLY;
-use crate::sync::lock;
 
 /// How much longer than its deadline an attempt's reply is awaited from its owner.
 const OWNER_GRACE: Duration = Duration::from_millis(100);
--- a/crates/host/src/gather/search.rs
+++ b/crates/host/src/gather/search.rs
@@ -22,10 +22,11 @@
 use galenaloft_policy::ids::ShardId;
 use galenaloft_policy::ids::SnapshotId;
 use galenaloft_policy::verdict::Verdict;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::clock::sleep_until;
+use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::metrics::AttemptRole;
 
-use crate::clock::now;
-use crate::clock::sleep_until;
 use crate::edges::Edges;
 use crate::gather::Gathered;
 use crate::gather::Query;
@@ -35,7 +36,6 @@
 use crate::gather::plan::AttemptCounts;
 use crate::gather::plan::Plan;
 use crate::node::Node;
-use crate::sync::lock;
 
 /// Time kept back from the deadline to merge and to send the answer.
 const ANSWER_TIME: Duration = Duration::from_millis(5);
--- a/crates/host/src/gather/shard.rs
+++ b/crates/host/src/gather/shard.rs
@@ -15,14 +15,14 @@
 use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::ids::SnapshotId;
 use galenaloft_policy::verdict::Verdict;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::clock::sleep_until;
+use galenaloft_runtime::sync::lock;
 
-use crate::clock::now;
-use crate::clock::sleep_until;
 use crate::edges::Edges;
 use crate::gather::in_flight::InFlight;
 use crate::gather::plan::Plan;
 use crate::node::Node;
-use crate::sync::lock;
 
 type Attempt<'a> = BoxFuture<'a, Result<ShardResult, AttemptFailure>>;
 
--- a/crates/host/src/gossip/prober.rs
+++ b/crates/host/src/gossip/prober.rs
@@ -6,18 +6,17 @@
 
 use futures::future::join_all;
 use galenaloft_peer::Probe;
-use galenaloft_policy::membership::Change;
 use galenaloft_policy::membership::HostFact;
 use galenaloft_policy::membership::HostState;
-use galenaloft_telemetry::log::Event;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::membership::log_changes;
+use galenaloft_runtime::sync::lock;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 
-use crate::clock::now;
 use crate::edges::Edges;
 use crate::node::Node;
 use crate::publish::fetch_from_peer;
-use crate::sync::lock;
 
 /// How often one peer is probed.
 const PERIOD: Duration = Duration::from_millis(200);
@@ -35,7 +34,7 @@
     let mut wants_all = true;
     loop {
         ticks.tick().await;
-        note_changes(lock(&node.members).expire(now()));
+        log_changes(lock(&node.members).expire(now()));
         let Some(target) = lock(&node.members).next_probe() else {
             continue;
         };
@@ -56,7 +55,7 @@
     let relays = lock(&node.members).relays(&target.host, RELAYS);
     let probes = relays.iter().map(|relay| probe_through(node, relay, target));
     if !join_all(probes).await.contains(&true) {
-        note_changes(lock(&node.members).suspect(&target.host, now()));
+        log_changes(lock(&node.members).suspect(&target.host, now()));
     }
     false
 }
@@ -108,7 +107,7 @@
     let sender = probe.facts.first().map(|fact| fact.address);
     let present = now();
     for fact in probe.facts {
-        note_changes(lock(&node.members).learn(fact, present));
+        log_changes(lock(&node.members).learn(fact, present));
     }
     let Some(sender) = sender else {
         return;
@@ -118,13 +117,3 @@
         tokio::spawn(async move { fetch_from_peer(&node, sender, key).await });
     }
 }
-
-fn note_changes(changes: impl IntoIterator<Item = Change>) {
-    for change in changes {
-        Event::new("host_changed")
-            .with("host", &change.host)
-            .with("old", change.old.map_or("unknown".to_owned(), |old| format!("{old:?}")))
-            .with("new", format!("{:?}", change.new))
-            .info();
-    }
-}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,6 +1,5 @@
 //! The tasks of one entry host: it gathers answers for callers and schedules searchers' slots.
 
-pub mod clock;
 pub mod edges;
 pub mod front;
 mod gather;
@@ -9,7 +8,6 @@
 mod owner;
 mod publish;
 mod submit;
-mod sync;
 
 pub use node::Identity;
 pub use node::Node;
--- a/crates/host/src/node/background.rs
+++ b/crates/host/src/node/background.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use galenaloft_peer::PublishedKey;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::clock::now;
 use crate::edges::Edges;
 use crate::gather::Beliefs;
 use crate::gossip::run_prober;
@@ -18,7 +19,6 @@
 use crate::publish::refresh;
 use crate::publish::run_host_list;
 use crate::publish::run_watcher;
-use crate::sync::lock;
 
 /// How often what has passed is forgotten.
 const SWEEP_PERIOD: Duration = Duration::from_secs(5);
--- a/crates/host/src/node/drain.rs
+++ b/crates/host/src/node/drain.rs
@@ -7,15 +7,15 @@
 
 use futures::future::join_all;
 use galenaloft_policy::membership::HostState;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 use tokio::time::sleep;
 
-use crate::clock::now;
 use crate::edges::Edges;
 use crate::gossip::probe_directly;
 use crate::node::Node;
 use crate::node::Phase;
-use crate::sync::lock;
 
 /// How often the end of the running requests is looked for.
 const POLL: Duration = Duration::from_millis(10);
--- a/crates/host/src/node/model.rs
+++ b/crates/host/src/node/model.rs
@@ -29,6 +29,8 @@
 use galenaloft_policy::ticket::Ticket;
 use galenaloft_policy::ticket::TicketKey;
 use galenaloft_policy::ticket::TicketTable;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::metrics::Metrics;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -37,7 +39,6 @@
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::clock::now;
 use crate::edges::Edges;
 use crate::gather::Beliefs;
 use crate::gather::ExplainLog;
@@ -47,7 +48,6 @@
 use crate::publish::Alarms;
 use crate::publish::Values;
 use crate::submit::OutcomeCopies;
-use crate::sync::lock;
 
 /// Life of a ticket before the first sheet is known; no ticket is issued until then.
 const INITIAL_TICKET_LIFE: Duration = Duration::from_secs(600);
--- a/crates/host/src/node/peer_service.rs
+++ b/crates/host/src/node/peer_service.rs
@@ -29,9 +29,9 @@
 use galenaloft_policy::ticket::Handover;
 use galenaloft_policy::ticket::StoredOutcome;
 use galenaloft_policy::ticket::Ticket;
+use galenaloft_runtime::clock::now;
 use tokio::net::TcpListener;
 
-use crate::clock::now;
 use crate::edges::Edges;
 use crate::gossip::answer_probe;
 use crate::gossip::probe_directly;
--- a/crates/host/src/node/status.rs
+++ b/crates/host/src/node/status.rs
@@ -3,11 +3,11 @@
 use galenaloft_operator::wire::HostStatus;
 use galenaloft_operator::wire::PeerStatus;
 use galenaloft_operator::wire::SearcherStatus;
+use galenaloft_runtime::sync::lock;
 
 use crate::edges::Edges;
 use crate::node::Node;
 use crate::node::Phase;
-use crate::sync::lock;
 
 impl<E: Edges> Node<E> {
     /// Returns the state of the host.
--- a/crates/host/src/owner/control.rs
+++ b/crates/host/src/owner/control.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use galenaloft_policy::ids::AttemptId;
+use galenaloft_runtime::clock::now;
 use galenaloft_telemetry::log::Event;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio::time::timeout;
 
-use crate::clock::now;
 use crate::edges::SearcherConn;
 use crate::edges::SearcherLink;
 use crate::owner::queue::SearcherQueue;
--- a/crates/host/src/owner/queue.rs
+++ b/crates/host/src/owner/queue.rs
@@ -13,11 +13,11 @@
 use galenaloft_policy::ids::Rank;
 use galenaloft_policy::queue::Popped;
 use galenaloft_policy::queue::RankQueue;
+use galenaloft_runtime::sync::lock;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
 use crate::owner::job::Job;
-use crate::sync::lock;
 
 /// Most attempts that wait for one searcher.
 const CAPACITY: usize = 1_024;
@@ -125,7 +125,7 @@
     pub async fn next(&self) -> Option<Job> {
         loop {
             let changed = self.changed.notified();
-            let now = crate::clock::now();
+            let now = galenaloft_runtime::clock::now();
             match self.pop(now) {
                 Next::Run(job) => return Some(job),
                 Next::Closed => return None,
--- a/crates/host/src/owner/registry.rs
+++ b/crates/host/src/owner/registry.rs
@@ -13,17 +13,17 @@
 use galenaloft_policy::catalogue::SearcherSpec;
 use galenaloft_policy::ids::Rank;
 use galenaloft_policy::ids::SearcherId;
+use galenaloft_runtime::clock;
+use galenaloft_runtime::sync::lock;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-use crate::clock;
 use crate::edges::SearcherLink;
 use crate::owner::control::run_control;
 use crate::owner::job::Job;
 use crate::owner::queue::SearcherQueue;
 use crate::owner::slot::run_slot;
-use crate::sync::lock;
 
 /// How long a queue without work keeps its connections.
 const IDLE: Duration = Duration::from_secs(60);
--- a/crates/host/src/owner/slot.rs
+++ b/crates/host/src/owner/slot.rs
@@ -8,10 +8,10 @@
 use galenaloft_policy::attempt::AttemptRequest;
 use galenaloft_policy::attempt::FailureReason;
 use galenaloft_policy::verdict::Verdict;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::clock::sleep_until;
 use galenaloft_searcher::RanReply;
 
-use crate::clock::now;
-use crate::clock::sleep_until;
 use crate::edges::SearcherConn;
 use crate::edges::SearcherLink;
 use crate::owner::job::AttemptResult;
--- a/crates/host/src/publish/alarms.rs
+++ b/crates/host/src/publish/alarms.rs
@@ -4,10 +4,9 @@
 use std::fmt;
 use std::sync::Mutex;
 
+use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 
-use crate::sync::lock;
-
 /// A condition that an operator should look at.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Alarm {
--- a/crates/host/src/publish/values.rs
+++ b/crates/host/src/publish/values.rs
@@ -13,11 +13,11 @@
 use galenaloft_policy::revision::InForce;
 use galenaloft_policy::revision::Offer;
 use galenaloft_policy::revision::Stamp;
+use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 
 use crate::publish::Alarm;
 use crate::publish::Alarms;
-use crate::sync::lock;
 
 /// Both published values.
 #[derive(Debug, Default)]
--- a/crates/host/src/publish/watcher.rs
+++ b/crates/host/src/publish/watcher.rs
@@ -20,15 +20,15 @@
 use galenaloft_policy::membership::HostState;
 use galenaloft_policy::revision::Stamp;
 use galenaloft_policy::routing::ranking;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::sync::lock;
 use tokio::time::sleep;
 
-use crate::clock::now;
 use crate::edges::Edges;
 use crate::edges::PlatformLink;
 use crate::gossip::probe_directly;
 use crate::node::Node;
 use crate::publish::Alarm;
-use crate::sync::lock;
 
 /// How long one watch waits at the platform.
 const WATCH: Duration = Duration::from_secs(8);
--- a/crates/host/src/submit/copies.rs
+++ b/crates/host/src/submit/copies.rs
@@ -9,10 +9,10 @@
 use galenaloft_policy::routing::ranking;
 use galenaloft_policy::ticket::StoredOutcome;
 use galenaloft_policy::ticket::Ticket;
+use galenaloft_runtime::sync::lock;
 
 use crate::edges::Edges;
 use crate::node::Node;
-use crate::sync::lock;
 
 /// Longest wait for a peer that keeps or looks up the copy of an outcome.
 const COPY_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/host/src/submit/handover.rs
+++ b/crates/host/src/submit/handover.rs
@@ -7,12 +7,12 @@
 use galenaloft_policy::membership::HostState;
 use galenaloft_policy::routing::ranking;
 use galenaloft_policy::ticket::Handover;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 
-use crate::clock::now;
 use crate::edges::Edges;
 use crate::node::Node;
-use crate::sync::lock;
 
 /// Longest wait for one answer of the successor.
 const ADOPT_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/host/src/submit/run.rs
+++ b/crates/host/src/submit/run.rs
@@ -14,16 +14,16 @@
 use galenaloft_policy::ticket::Begin;
 use galenaloft_policy::ticket::StoredOutcome;
 use galenaloft_policy::verdict::Verdict;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::clock::sleep_until;
+use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 
-use crate::clock::now;
-use crate::clock::sleep_until;
 use crate::edges::Edges;
 use crate::gather::Query;
 use crate::gather::ShardTask;
 use crate::node::Node;
 use crate::submit::SubmitOutcome;
-use crate::sync::lock;
 
 /// How much longer than the caller's deadline a forwarded submission's reply is awaited.
 const FORWARD_GRACE: Duration = Duration::from_millis(50);
--- a/crates/policy/src/gathering/patience.rs
+++ b/crates/policy/src/gathering/patience.rs
@@ -7,6 +7,9 @@
 /// once its full value is lost and its floor is met.
 const LATE_WAIT: u32 = 1;
 
+/// How late timers fire on the hosts.
+const TIMER_SLACK: Duration = Duration::from_millis(4);
+
 /// What a query with missing parts does next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Wait {
@@ -58,24 +61,16 @@
             return Wait::Until(self.objective);
         }
         match met {
-            // The objective has just passed: this is the last moment of full value.
-            true if now < self.late && !self.missed(now) => Wait::Answer,
-            true if now >= self.late => Wait::Answer,
+            // The objective has just passed, which is the last moment of full value, or the wait
+            // for the rest is over.
+            true if now <= self.objective + TIMER_SLACK || now >= self.late => Wait::Answer,
             true => Wait::Until(self.late),
             false => Wait::Until(self.deadline),
         }
     }
 
-    /// Whether an answer that leaves now comes too late for its full value.
-    fn missed(&self, now: Instant) -> bool {
-        now > self.objective + TIMER_SLACK
-    }
-
     /// Returns the time after which an answer has lost its full value.
     pub fn objective(&self) -> Instant {
         self.objective
     }
 }
-
-/// How late timers fire on the hosts.
-const TIMER_SLACK: Duration = Duration::from_millis(4);
--- a/crates/policy/src/route/configuration.rs
+++ b/crates/policy/src/route/configuration.rs
@@ -141,13 +141,4 @@
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.routes.values().flatten()
     }
-
-    /// Returns whether some route sends requests to `service`.
-    pub fn uses(&self, service: &str) -> bool {
-        self.routes().any(|route| match &route.target {
-            Target::Service(id) => **id == *service,
-            Target::Weighted(parts) => parts.iter().any(|part| *part.service == *service),
-            Target::Gather(gather) => gather.shards.iter().any(|shard| **shard == *service),
-        })
-    }
 }
--- a/crates/policy/src/routing/extra.rs
+++ b/crates/policy/src/routing/extra.rs
@@ -52,9 +52,4 @@
         self.saved -= 1.0;
         true
     }
-
-    /// Returns a request that was not sent after all.
-    pub fn refund(&mut self) {
-        self.saved += 1.0;
-    }
 }
--- a/crates/policy/src/routing/health.rs
+++ b/crates/policy/src/routing/health.rs
@@ -157,12 +157,7 @@
 
     /// Returns whether the searcher failed and it is time to ask whether it is back.
     pub fn wants_probe(&self, now: Instant) -> bool {
-        self.failures > 0 && self.avoided_until.is_none_or(|until| now >= until)
-    }
-
-    /// Returns how many attempts are running.
-    pub fn running(&self) -> usize {
-        self.running.len()
+        self.is_suspect() && !self.is_avoided(now)
     }
 
     /// Returns the typical latency of a route in seconds, or `None` while nothing is known.
@@ -188,9 +183,9 @@
         if age > (latency * PAUSE_FACTOR).max(MIN_PAUSE.as_secs_f64()) {
             cost += PAUSE_COST;
         }
-        match self.avoided_until {
-            Some(until) if now < until => cost + AVOIDED_COST,
-            _ => cost,
+        match self.is_avoided(now) {
+            true => cost + AVOIDED_COST,
+            false => cost,
         }
     }
 
