Searchers that left an attempt unanswered are passed over; extra requests in sliding windows

Cause: a slow searcher was avoided only after three slow answers of five, and each try cost a hedge from a bucket that fills by requests alone: at a few requests a second queries lost the shard. Ruled out: the searcher's running attempts; they are cut 150 ms after the answer, and with them went the memory that it is slow. The bound holds in every window by a quickcheck property.

--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -12,6 +12,7 @@
 use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::routing::ConnectionShare;
+use galenaloft_policy::routing::ExtraShare;
 use galenaloft_policy::verdict::Verdict;
 use galenaloft_runtime::clock::now;
 use galenaloft_runtime::clock::sleep_until;
@@ -100,7 +101,7 @@
     pub fn spend_extra(&mut self) -> bool {
         let searchers = self.service.searchers().len();
         let allowed = searchers <= self.plan.route.max_attempts as usize;
-        self.extra = allowed && lock(&self.service.budget).spend();
+        self.extra = allowed && self.spend(now());
         self.extra
     }
 
@@ -116,8 +117,7 @@
         accept: fn(&SearcherAnswer) -> bool,
     ) -> Result<SearcherAnswer, Missed> {
         if !self.extra {
-            lock(&self.service.budget)
-                .note_first(&self.host.settings.extra, self.host.sharers().all);
+            lock(&self.service.budget).note_first(&self.extra_share(), now());
         }
         let mut last: Option<Result<SearcherAnswer, Missed>> = None;
         loop {
@@ -188,7 +188,7 @@
             match self.choose(present) {
                 Choice::Searcher(searcher) => {
                     if again {
-                        let allowed = lock(&self.service.budget).spend();
+                        let allowed = self.spend(present);
                         self.log("retry", &searcher, allowed, present);
                         if !allowed {
                             return Err(Missed::NoSearcher);
@@ -213,19 +213,27 @@
     fn hedge(&mut self) {
         self.overdue = None;
         let present = now();
-        if !lock(&self.service.budget).allows(RETRY_RESERVE) {
+        if !lock(&self.service.budget).allows(&self.extra_share(), RETRY_RESERVE, present) {
             return;
         }
         let Choice::Searcher(searcher) = self.choose(present) else {
             return;
         };
-        let allowed = !searcher.is_suspect() && lock(&self.service.budget).spend();
+        let allowed = !searcher.is_suspect() && self.spend(present);
         self.log("hedge", &searcher, allowed, present);
         if allowed {
             self.send(&searcher, present);
         }
     }
 
+    fn spend(&self, present: Instant) -> bool {
+        lock(&self.service.budget).spend(&self.extra_share(), present)
+    }
+
+    fn extra_share(&self) -> ExtraShare {
+        ExtraShare { bound: self.host.settings.extra, hosts: self.host.sharers().all }
+    }
+
     /// Logs the decision to send the request to a further searcher, or not to.
     fn log(&self, event: &str, searcher: &Searcher, allowed: bool, present: Instant) {
         let waited = present.saturating_duration_since(self.plan.arrived);
--- a/crates/policy/src/routing/health.rs
+++ b/crates/policy/src/routing/health.rs
@@ -42,6 +42,10 @@
 /// Least silence after which it does: pauses last some 100 ms.
 const MIN_SILENCE: Duration = Duration::from_millis(250);
 
+/// How long a searcher that left an attempt without an answer is passed over before one more request
+/// tries it. A pause is over by then, and a searcher that is slow for longer costs one hedge a second.
+const STALL_MEMORY: Duration = Duration::from_secs(1);
+
 /// Latencies of so many routes are kept for a searcher.
 const MAX_ROUTES: usize = 32;
 
@@ -58,6 +62,8 @@
     unanswered: u32,
     /// When the first of these was sent.
     silent_since: Option<Instant>,
+    /// When the last of these was given up.
+    stalled_at: Option<Instant>,
 }
 
 impl SearcherHealth {
@@ -109,6 +115,7 @@
         if let Some(route) = route {
             self.record(route, now.saturating_duration_since(sent), now);
         }
+        self.stalled_at = Some(now);
         self.unanswered += 1;
         let since = *self.silent_since.get_or_insert(sent);
         let silent = now.saturating_duration_since(since) >= MIN_SILENCE;
@@ -145,6 +152,7 @@
         self.failures = 0;
         self.unanswered = 0;
         self.silent_since = None;
+        self.stalled_at = None;
         self.unreachable = false;
         self.avoided_until = None;
     }
@@ -180,7 +188,8 @@
         }
         let oldest = self.running.iter().min();
         let age = oldest.map_or(0.0, |sent| now.saturating_duration_since(*sent).as_secs_f64());
-        if age > (latency * PAUSE_FACTOR).max(MIN_PAUSE.as_secs_f64()) {
+        let pausing = age > (latency * PAUSE_FACTOR).max(MIN_PAUSE.as_secs_f64());
+        if pausing || self.is_stalled(now) {
             cost += PAUSE_COST;
         }
         match self.is_avoided(now) {
@@ -189,6 +198,11 @@
         }
     }
 
+    /// Whether an attempt was given up a moment ago and nothing was answered since.
+    fn is_stalled(&self, now: Instant) -> bool {
+        self.stalled_at.is_some_and(|at| now.saturating_duration_since(at) < STALL_MEMORY)
+    }
+
     fn unloaded(&self, view: &ReplicaView<'_>, now: Instant) -> f64 {
         let prior = view.prior;
         let Some(estimate) = self.latencies.get(view.route) else {
--- a/crates/policy/src/routing/mod.rs
+++ b/crates/policy/src/routing/mod.rs
@@ -16,6 +16,7 @@
 pub use estimate::RecentLatencies;
 pub use extra::ExtraBound;
 pub use extra::ExtraBudget;
+pub use extra::ExtraShare;
 pub use health::ReplicaView;
 pub use health::SearcherHealth;
 pub use hedge::HedgePolicy;
--- a/crates/policy/src/routing/tests.rs
+++ b/crates/policy/src/routing/tests.rs
@@ -22,6 +22,35 @@
         owner_of(&item, &hosts) == Some(ranked[0]) && after == expected
     }
 
+    fn extra_requests_stay_inside_the_bound_in_every_window(
+        steps: Vec<(u16, bool)>,
+        hosts: u8
+    ) -> bool {
+        let bound = ExtraBound { ratio: 0.2, slack: 54.0, window: Duration::from_secs(10) };
+        let share = ExtraShare { bound, hosts: usize::from(hosts % 40) + 1 };
+        let start = Instant::now();
+        let mut budget = ExtraBudget::default();
+        let mut first: Vec<Instant> = Vec::new();
+        let mut extra: Vec<Instant> = Vec::new();
+        let mut at = start;
+        for (pause, wants_extra) in steps {
+            at += Duration::from_millis(u64::from(pause % 1_500));
+            budget.note_first(&share, at);
+            first.push(at);
+            while wants_extra && budget.spend(&share, at) {
+                extra.push(at);
+            }
+        }
+        extra.iter().all(|end| {
+            let inside = |at: &&Instant| **at <= *end && *end - **at < bound.window;
+            // A window's requests are counted from one step before it.
+            let near = |at: &&Instant| **at <= *end && *end - **at < bound.window.mul_f64(1.1);
+            let part = (bound.slack / share.hosts as f64).max(1.0);
+            let earned = bound.ratio * first.iter().filter(near).count() as f64;
+            extra.iter().filter(inside).count() as f64 <= part + earned
+        })
+    }
+
     fn hedges_stay_inside_the_budget(attempts: Vec<bool>, percent: u8) -> bool {
         let ratio = f64::from(percent % 20) / 100.0;
         let mut policy = HedgePolicy::new(ratio, Instant::now());
@@ -93,3 +122,40 @@
     let all = 26 * many.limit(true);
     assert!(all <= 60, "{all}");
 }
+
+#[test]
+fn a_searcher_that_left_an_attempt_unanswered_is_passed_over_until_a_trial() {
+    let start = Instant::now();
+    let ms = Duration::from_millis;
+    let route = "sweep".into();
+    let view =
+        ReplicaView { route: &route, prior: 0.005, objective: ms(80), local: true, slots: 2 };
+    let mut slow = SearcherHealth::default();
+    let mut twin = SearcherHealth::default();
+    for health in [&mut slow, &mut twin] {
+        (0..5).for_each(|_| health.note_answer(&route, ms(5), start));
+    }
+    slow.note_sent(start);
+    slow.note_ended(start);
+    slow.note_unanswered(Some(&route), start, start + ms(150));
+    let dearer = |at: Instant| slow.cost(&view, at) > twin.cost(&view, at);
+    assert!(dearer(start + ms(200)));
+    assert!(!dearer(start + ms(1_200)));
+    slow.note_answer(&route, ms(5), start + ms(1_250));
+    assert!(slow.cost(&view, start + ms(1_250)) <= twin.cost(&view, start + ms(1_250)));
+}
+
+#[test]
+fn unused_slack_is_there_again_after_a_window_at_any_load() {
+    let bound = ExtraBound { ratio: 0.2, slack: 54.0, window: Duration::from_secs(10) };
+    let share = ExtraShare { bound, hosts: 8 };
+    let mut now = Instant::now();
+    let mut budget = ExtraBudget::default();
+    budget.note_first(&share, now);
+    for _ in 0..4 {
+        now += Duration::from_secs(12);
+        budget.note_first(&share, now);
+        let spent = (0..100).filter(|_| budget.spend(&share, now)).count();
+        assert_eq!(spent, 5);
+    }
+}
