A few capable hosts of each zone gather wide queries for the others

Cause: on the grown deployments a query over 90 shards takes a host with an eighth of a core tens of milliseconds, and 77 hosts held connections to every searcher of their zone: 52,000 connections for 106,000 requests, resets beyond the searchers' limit, shards asked in other zones. Ruled out: budget of hedges (quick checks failed below the floor after 10 to 20 ms, without a hedge). Hosts tell each other what they have of a processor; the plan of a query shares its shards out by that.

--- a/crates/config/src/edge/model.rs
+++ b/crates/config/src/edge/model.rs
@@ -17,6 +17,9 @@
 const MILLISECOND: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Most cores, or times the speed of a usual core, that a host may have.
+const MAX_CORES: f64 = 1_024.0;
+
 /// Longest time that a setting may have, in seconds.
 const MAX_SECONDS: f64 = 600.0;
 
@@ -49,6 +52,8 @@
     pub store: SocketAddr,
     /// Peer addresses of some other hosts, which may be stale.
     pub seeds: Vec<SocketAddr>,
+    /// What the host has of a core of usual speed.
+    pub cores: f64,
     /// Bound on requests beyond the first of each.
     pub extra: ExtraBound,
     /// Time from the signal to stop until the process is killed.
@@ -80,6 +85,7 @@
                 }
                 None => Vec::new(),
             },
+            cores: read_cores(top.optional("processor"))?,
             extra: read_extra(top.optional("extra-requests"))?,
             grace: match top.optional("grace-seconds") {
                 Some(field) => field.units(SECOND, 0.1..=MAX_SECONDS)?,
@@ -108,6 +114,20 @@
     Ok(listen)
 }
 
+fn read_cores(field: Option<Field<'_>>) -> Result<f64, ConfigError> {
+    let Some(field) = field else {
+        return Ok(1.0);
+    };
+    let mut map = field.map()?;
+    let mut factor = |name| match map.optional(name) {
+        Some(field) => field.decimal(0.001..=MAX_CORES),
+        None => Ok(1.0),
+    };
+    let cores = factor("share")? * factor("speed")?;
+    map.finish()?;
+    Ok(cores)
+}
+
 fn read_extra(field: Option<Field<'_>>) -> Result<ExtraBound, ConfigError> {
     let mut bound = ExtraBound { ratio: 0.1, slack: 10.0, window: Duration::from_secs(10) };
     let Some(field) = field else {
--- a/crates/config/src/edge/tests.rs
+++ b/crates/config/src/edge/tests.rs
@@ -12,19 +12,22 @@
   metrics: 127.0.0.1:4
 store: 127.0.0.1:5
 seeds: [\"127.0.0.1:6\"]
+processor: { share: 0.25, speed: 2 }
 extra-requests: { ratio: 0.2, slack: 54, window-seconds: 10 }
 grace-seconds: 6
 caller-round-trip-ms: 6.5
 ";
 
 /// Replacements that each make the good settings bad ones.
-const BAD: [(&str, &str); 9] = [
+const BAD: [(&str, &str); 11] = [
     ("host: e1\n", ""),
     ("zone: a", "zone: a/b"),
     ("callers: 127.0.0.1:1", "callers: localhost:1"),
     ("  metrics: 127.0.0.1:4\n", ""),
     ("store: 127.0.0.1:5", "store: 5"),
     ("[\"127.0.0.1:6\"]", "127.0.0.1:6"),
+    ("share: 0.25", "share: 0"),
+    ("speed: 2", "cores: 2"),
     ("ratio: 0.2", "ratio: -1"),
     ("grace-seconds: 6", "grace-seconds: 6s"),
     ("caller-round-trip-ms: 6.5", "caller-round-trip: 6.5"),
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -12,6 +12,7 @@
 use galenaloft_config::edge::EdgeSettings;
 use galenaloft_http::Limits;
 use galenaloft_policy::directory::Revised;
+use galenaloft_policy::ids::Capacity;
 use galenaloft_policy::ids::ConfigVersion;
 use galenaloft_policy::ids::RouteName;
 use galenaloft_policy::ids::ServiceId;
@@ -39,6 +40,7 @@
 use crate::peers::MIN_HOSTS;
 use crate::peers::Peers;
 use crate::peers::Relays;
+use crate::peers::capacity;
 use crate::searchers::Fleet;
 
 /// Connections that callers may open; the platform gives a process some thousand descriptors.
@@ -123,7 +125,12 @@
             latencies: Mutex::default(),
             listed: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
-            sharers: Mutex::new(Sharers { all: MIN_HOSTS, in_zone: MIN_HOSTS }),
+            sharers: Mutex::new(Sharers {
+                all: MIN_HOSTS,
+                gatherers: MIN_HOSTS,
+                gatherers_in_zone: MIN_HOSTS,
+                gathers: true,
+            }),
             cut_off: AtomicBool::new(false),
             outside_answered: Mutex::new(None),
             told: Mutex::new(Some(NotReady::Uninformed)),
@@ -168,9 +175,18 @@
         self.cut_off.load(Ordering::Relaxed)
     }
 
+    /// Shares out connections and budgets anew.
+    pub fn note_sharers(&self, now: Instant) {
+        *lock(&self.sharers) = self.peers.sharers(now);
+    }
+
+    /// Returns what this host has of a processor.
+    pub fn capacity(&self) -> Capacity {
+        capacity(&self.settings)
+    }
+
     /// Looks at the other hosts again. Returns whether it changed that the zone is cut off.
     pub fn note_others(&self, now: Instant) -> bool {
-        *lock(&self.sharers) = self.peers.sharers(now);
         let host = self.peers.others_heard(now);
         let searcher = *lock(&self.outside_answered);
         let heard = host.map(|host| searcher.map_or(host, |searcher| host.max(searcher)));
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -104,6 +104,7 @@
     loop {
         ticks.tick().await;
         log_changes(lock(&host.peers.table).expire(now()));
+        host.note_sharers(now());
         look_at_others(&host);
         if let Some((target, at)) = asked.take() {
             check(&host, &socket, &target, at).await;
--- a/crates/edge/src/peers/members.rs
+++ b/crates/edge/src/peers/members.rs
@@ -7,11 +7,14 @@
 use std::time::Instant;
 
 use galenaloft_config::edge::EdgeSettings;
+use galenaloft_policy::gathering::gatherers;
+use galenaloft_policy::ids::Capacity;
 use galenaloft_policy::ids::HostId;
 use galenaloft_policy::ids::ZoneId;
 use galenaloft_policy::membership::HostFact;
 use galenaloft_policy::membership::HostState;
 use galenaloft_policy::membership::MemberTable;
+use galenaloft_policy::membership::WHOLE_CORE;
 use galenaloft_policy::quarantine::Crash;
 use galenaloft_policy::routing::Sharers;
 use galenaloft_runtime::membership::log_changes;
@@ -37,6 +40,17 @@
 /// Hosts of other zones that are probed then.
 const OTHERS_PROBED: usize = 4;
 
+/// A host that gathers for others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Gatherer {
+    /// The host.
+    pub host: HostId,
+    /// Where it answers other hosts.
+    pub address: SocketAddr,
+    /// What it has of a processor.
+    pub capacity: Capacity,
+}
+
 /// The other hosts.
 #[derive(Debug)]
 pub struct Peers {
@@ -60,6 +74,7 @@
             host: settings.host.clone(),
             zone: settings.zone.clone(),
             address,
+            capacity: capacity(settings),
             incarnation,
             generation: incarnation,
             state: HostState::Alive,
@@ -120,9 +135,9 @@
         lock(&self.heard).get(host).is_some_and(|at| *at >= then)
     }
 
-    /// Returns whether some other host is known.
-    pub fn knows_others(&self) -> bool {
-        lock(&self.table).facts().nth(1).is_some()
+    /// Returns how many hosts are known, this one included.
+    pub fn count(&self) -> usize {
+        lock(&self.table).facts().count()
     }
 
     /// Returns the seeds that are not known as hosts.
@@ -143,12 +158,37 @@
         let working = |fact: &&HostFact| {
             matches!(fact.state, HostState::Alive | HostState::Suspect) || recently(&fact.host)
         };
-        let (mut all, mut in_zone) = (0, 0);
-        for fact in table.facts().filter(working) {
-            all += 1;
-            in_zone += usize::from(fact.zone == *own);
+        let all = table.facts().filter(working).count().max(MIN_HOSTS);
+        let mut zones: BTreeMap<&ZoneId, Vec<(HostId, Capacity)>> = BTreeMap::new();
+        for fact in table.working() {
+            zones.entry(&fact.zone).or_default().push((fact.host.clone(), fact.capacity));
+        }
+        let pools: BTreeMap<&ZoneId, Vec<HostId>> =
+            zones.into_iter().map(|(zone, hosts)| (zone, gatherers(hosts))).collect();
+        let in_zone = pools.get(own);
+        Sharers {
+            all,
+            gatherers: pools.values().map(Vec::len).sum(),
+            gatherers_in_zone: in_zone.map_or(0, Vec::len),
+            gathers: in_zone.is_some_and(|pool| pool.contains(&table.own().host)),
         }
-        Sharers { all: all.max(MIN_HOSTS), in_zone }
+    }
+
+    /// Returns the other hosts of a zone that gather for all of it, with what they have of a
+    /// processor.
+    pub fn gatherers_of(&self, zone: &ZoneId) -> Vec<Gatherer> {
+        let table = lock(&self.table);
+        let there = table.working().filter(|fact| fact.zone == *zone);
+        let pool = gatherers(there.map(|fact| (fact.host.clone(), fact.capacity)).collect());
+        let own = &table.own().host;
+        let others = pool.iter().filter(|host| *host != own).filter_map(|host| table.get(host));
+        let alive = others.filter(|fact| fact.state == HostState::Alive);
+        let gatherer = |fact: &HostFact| Gatherer {
+            host: fact.host.clone(),
+            address: fact.address,
+            capacity: fact.capacity,
+        };
+        alive.map(gatherer).collect()
     }
 
     /// Returns how many hosts read the store before this one does.
@@ -166,15 +206,6 @@
         sharing(&table).filter(|fact| fact.host != *own).map(|fact| fact.address).collect()
     }
 
-    /// Returns the live hosts of an availability zone.
-    pub fn of_zone(&self, zone: &ZoneId) -> Vec<(HostId, SocketAddr)> {
-        let table = lock(&self.table);
-        let own = table.own().host.clone();
-        let alive = table.working().filter(|f| f.state == HostState::Alive && f.host != own);
-        let there = alive.filter(|fact| fact.zone == *zone);
-        there.map(|fact| (fact.host.clone(), fact.address)).collect()
-    }
-
     /// Returns the availability zone of a host.
     pub fn zone_of(&self, host: &HostId) -> Option<ZoneId> {
         lock(&self.table).get(host).map(|fact| fact.zone.clone())
@@ -236,6 +267,11 @@
 }
 
 /// Returns the peer addresses of the seeds: every host has the same port.
+/// Returns what the host has of a processor, at least the smallest capacity that counts.
+pub fn capacity(settings: &EdgeSettings) -> Capacity {
+    (settings.cores * f64::from(WHOLE_CORE)).round().max(1.0) as Capacity
+}
+
 fn seeds_of(settings: &EdgeSettings) -> Vec<SocketAddr> {
     let own = settings.listen.peers;
     let others = settings.seeds.iter().map(SocketAddr::ip).filter(|ip| *ip != own.ip());
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -7,8 +7,10 @@
 mod service;
 
 pub use gossip::run;
+pub use members::Gatherer;
 pub use members::MIN_HOSTS;
 pub use members::Peers;
+pub use members::capacity;
 pub use messages::GroupQuery;
 pub use messages::GroupReply;
 pub use messages::Knowledge;
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use galenaloft_policy::ids::Capacity;
 use galenaloft_policy::ids::HostId;
 use galenaloft_policy::route::Route;
 use galenaloft_policy::routing::ReplicaView;
@@ -21,6 +22,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::peers::Gatherer;
 use crate::peers::GroupQuery;
 use crate::peers::GroupReply;
 use crate::peers::Knowledge;
@@ -32,6 +34,9 @@
 /// The library's own deadline is set so far away that only the host's own limits count.
 const LIBRARY_DEADLINE: Duration = Duration::from_secs(3_600);
 
+/// How many times as long as the fastest one a peer may take before it gets fewer shards.
+const USUAL_SPREAD: f64 = 2.0;
+
 /// Queries that a peer is expected to run at a time without making them wait.
 const PEER_SLOTS: u32 = 8;
 
@@ -58,7 +63,39 @@
     }
 }
 
+impl From<Gatherer> for Relay {
+    fn from(gatherer: Gatherer) -> Self {
+        Self { host: gatherer.host, address: gatherer.address }
+    }
+}
+
 impl Relays {
+    /// Returns what each gatherer can be expected to do now: nothing if it failed a moment ago, less
+    /// than it has if it takes far longer than the fastest one.
+    pub fn capacities(&self, gatherers: &[Gatherer], route: &Route, now: Instant) -> Vec<Capacity> {
+        let health = lock(&self.health);
+        let typical = |host: &HostId| health.get(host)?.typical(&route.name);
+        let latencies = gatherers.iter().filter_map(|gatherer| typical(&gatherer.host));
+        let fastest = latencies.min_by(f64::total_cmp);
+        let capacity = |gatherer: &Gatherer| {
+            let observed = health.get(&gatherer.host);
+            if observed.is_some_and(|health| health.is_avoided(now)) {
+                return 0;
+            }
+            let slowness = match (observed, fastest) {
+                (Some(health), Some(fastest)) if fastest > 0.0 => {
+                    health.expected(&view(route, fastest), now) / fastest
+                }
+                _ => 1.0,
+            };
+            match slowness > USUAL_SPREAD {
+                true => (f64::from(gatherer.capacity) / slowness).max(1.0) as Capacity,
+                false => gatherer.capacity,
+            }
+        };
+        gatherers.iter().map(capacity).collect()
+    }
+
     /// Chooses the host that is expected to answer first, unless all failed just now.
     pub fn choose(
         &self,
@@ -68,13 +105,7 @@
         now: Instant,
     ) -> Option<Relay> {
         let health = lock(&self.health);
-        let view = ReplicaView {
-            route: &route.name,
-            prior,
-            objective: route.target_latency,
-            local: true,
-            slots: PEER_SLOTS,
-        };
+        let view = view(route, prior);
         let cost = |host: &HostId| match health.get(host) {
             Some(health) if health.is_avoided(now) => None,
             Some(health) => Some(health.cost(&view, now)),
@@ -186,6 +217,17 @@
     }
 }
 
+/// Describes a peer as one that may be asked; `prior` is the latency of one of which nothing is known.
+fn view(route: &Route, prior: f64) -> ReplicaView<'_> {
+    ReplicaView {
+        route: &route.name,
+        prior,
+        objective: route.target_latency,
+        local: true,
+        slots: PEER_SLOTS,
+    }
+}
+
 fn long_deadline() -> Context {
     let mut cx = context::current();
     cx.deadline = Instant::now() + LIBRARY_DEADLINE;
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use galenaloft_adapter::searcher;
 use galenaloft_policy::routing::ConnectionShare;
@@ -23,16 +24,42 @@
 /// one. Until then it cannot tell its share of a searcher's connections.
 const ALONE: Duration = Duration::from_secs(2);
 
+/// Time without a new host after which all are taken to be known: each is probed twice a second
+/// while a fleet starts.
+const SETTLED: Duration = Duration::from_millis(700);
+
 /// Searchers of other zones that are asked in each round while the own zone is cut off.
 const OUTSIDE_PROBES: usize = 2;
 
 /// Longest wait for the answer to a health request.
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// The number of hosts that are known, and since when.
+struct KnownHosts {
+    count: usize,
+    since: Instant,
+}
+
+impl KnownHosts {
+    fn new(now: Instant) -> Self {
+        Self { count: 1, since: now }
+    }
+
+    /// Returns whether no host was added for a while.
+    fn are_settled(&mut self, count: usize, now: Instant) -> bool {
+        if count > self.count {
+            self.since = now;
+        }
+        self.count = count;
+        let wait = if count > 1 { SETTLED } else { ALONE };
+        now.saturating_duration_since(self.since) >= wait
+    }
+}
+
 /// Runs for as long as the process does.
 pub async fn keep_up(host: Arc<Host>) {
     let mut was_cut_off = false;
-    let started = now();
+    let mut known = KnownHosts::new(now());
     loop {
         tokio::time::sleep(INTERVAL).await;
         let Some(config) = host.config() else {
@@ -42,8 +69,7 @@
         if std::mem::replace(&mut was_cut_off, cut_off) && !cut_off {
             host.fleet.retry_outside(now());
         }
-        let alone = now().saturating_duration_since(started) >= ALONE;
-        let informed = alone || host.peers.knows_others();
+        let informed = known.are_settled(host.peers.count(), now());
         let mut outside_probes = if cut_off { OUTSIDE_PROBES } else { usize::MAX };
         for (id, service) in host.fleet.services() {
             let Some(spec) = config.services.get(&id) else {
@@ -52,6 +78,9 @@
             let share = ConnectionShare::new(spec.max_connections as usize, host.sharers());
             for searcher in service.searchers() {
                 searcher.sweep(now());
+                if !share.keeps() {
+                    searcher.close_idle();
+                }
                 if searcher.is_draining() {
                     continue;
                 }
@@ -60,7 +89,8 @@
                 if outside && outside_probes == 0 {
                     continue;
                 }
-                let cold = searcher.connections() == 0 && share.keeps(searcher.local) && informed;
+                let cold =
+                    searcher.connections() == 0 && share.opens_ahead(searcher.local) && informed;
                 if suspect || outside || cold {
                     outside_probes -= usize::from(outside);
                     let health = suspect || outside;
--- a/crates/edge/src/query/gather.rs
+++ b/crates/edge/src/query/gather.rs
@@ -17,6 +17,7 @@
 use galenaloft_policy::gathering::Patience;
 use galenaloft_policy::gathering::TopRecords;
 use galenaloft_policy::gathering::Wait;
+use galenaloft_policy::gathering::answer_time;
 use galenaloft_policy::gathering::select_shards;
 use galenaloft_policy::route::Gather;
 use galenaloft_runtime::clock::now;
@@ -32,12 +33,6 @@
 use crate::query::shard::Missed;
 use crate::query::shard::ShardQuery;
 
-/// Time to write an answer on a host with a quarter of a core.
-const WRITE_TIME: Duration = Duration::from_millis(2);
-
-/// Time to read and merge one part there: a part takes some 30 us of a whole core.
-const PART_TIME: Duration = Duration::from_micros(100);
-
 /// When a caller that got no answer may come back.
 const BACK_AFTER: Duration = Duration::from_millis(300);
 
@@ -114,9 +109,8 @@
     }
 
     /// Asks shards without a searcher in the own zone through hosts of theirs, others directly.
-    pub fn ask_by_zone(&mut self, min_parts: usize, objective: Instant) {
+    pub fn ask_by_zone(&mut self, groups: Vec<Group>, min_parts: usize, objective: Instant) {
         let present = now();
-        let groups = group::plan(self.host, self.plan, self.gather, present);
         let through_peers: Vec<usize> = groups.iter().flat_map(|g| &g.shards).copied().collect();
         let all = 0..self.gather.shards.len();
         let direct: Vec<usize> = all.filter(|index| !through_peers.contains(index)).collect();
@@ -359,13 +353,14 @@
 
 /// Asks one searcher of each shard and merges the parts that come in time.
 pub async fn gather(host: &Arc<Host>, plan: &Arc<Plan>, gather: &Gather) -> Answer {
-    let patience = patience(host, plan, gather);
     let min_parts = gather.min_parts();
     if host.is_cut_off() && host.own_shards(gather) < min_parts {
         return Answer::Refused(BACK_AFTER);
     }
+    let groups = group::plan(host, plan, gather, now());
+    let patience = patience(host, plan, gather, &groups);
     let mut gathering = Gathering::new(host, plan, gather);
-    gathering.ask_by_zone(min_parts, patience.objective());
+    gathering.ask_by_zone(groups, min_parts, patience.objective());
     let expired = gathering.collect(&patience, min_parts).await;
     let parts = gathering.parts();
     if parts >= min_parts {
@@ -384,15 +379,12 @@
     answer.status.is_success()
 }
 
-/// Returns the time that a host needs to merge and write an answer of so many parts.
-pub fn merge_time(shards: usize) -> Duration {
-    WRITE_TIME + PART_TIME * u32::try_from(shards).unwrap_or(u32::MAX)
-}
-
-fn patience(host: &Host, plan: &Plan, gather: &Gather) -> Patience {
+fn patience(host: &Host, plan: &Plan, gather: &Gather, groups: &[Group]) -> Patience {
     let round_trip = host.settings.caller_round_trip;
     // Opening a connection takes a caller one more round trip.
     let connects = if plan.call.first_on_connection { round_trip } else { Duration::ZERO };
-    let way = round_trip + connects + merge_time(gather.shards.len());
+    let through_peers: usize = groups.iter().map(|group| group.shards.len()).sum();
+    let direct = gather.shards.len().saturating_sub(through_peers);
+    let way = round_trip + connects + answer_time(host.capacity(), direct, groups.len());
     Patience::new(plan.arrived, plan.route.target_latency, way, plan.deadline)
 }
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -8,13 +8,14 @@
 use std::time::Instant;
 
 use galenaloft_adapter::caller::CallerRequest;
+use galenaloft_policy::gathering::MIN_GROUP;
 use galenaloft_policy::gathering::Patience;
-use galenaloft_policy::ids::HostId;
+use galenaloft_policy::gathering::answer_time;
+use galenaloft_policy::gathering::share_out;
 use galenaloft_policy::ids::ZoneId;
 use galenaloft_policy::route::Gather;
 use galenaloft_policy::route::Route;
 use galenaloft_policy::route::Target;
-use galenaloft_policy::routing::ranking;
 use galenaloft_runtime::clock::now;
 
 use crate::host::Host;
@@ -23,16 +24,6 @@
 use crate::peers::Relay;
 use crate::query::Plan;
 use crate::query::gather::Gathering;
-use crate::query::gather::merge_time;
-
-/// Shards that are at home with the same hosts.
-const BUCKET: usize = 9;
-
-/// Hosts of a zone that a bucket of shards is at home with: one may fail and one be busy.
-const HOMES: usize = 3;
-
-/// Fewest shards that are worth a call to a peer.
-const MIN_GROUP: usize = 3;
 
 /// Time that a peer's answer needs on its way back, whatever its size.
 const WAY_BACK: Duration = Duration::from_millis(3);
@@ -53,22 +44,21 @@
 }
 
 /// Groups the shards that are not asked directly: those without a sound searcher in the own zone,
-/// and in a large fleet those that other hosts of the zone are at home with.
+/// and in a large fleet those that other hosts of the zone gather.
 pub fn plan(host: &Host, plan: &Plan, gather: &Gather, now: Instant) -> Vec<Group> {
     let mut groups = match host.is_cut_off() {
         true => Vec::new(),
         false => other_zones(host, plan, gather, now),
     };
     let share = gather.shards.first().map(|shard| plan.connections(shard, host.sharers()));
-    if share.is_some_and(|share| !share.keeps_other_zone) {
+    if share.is_some_and(|share| share.is_pooled()) {
         let taken: Vec<usize> = groups.iter().flat_map(|group| &group.shards).copied().collect();
         groups.extend(own_zone(host, plan, gather, &taken, now));
     }
     groups
 }
 
-/// Shares the shards of the own zone out among its hosts. A searcher accepts too few connections for
-/// all hosts to use it often, and one host's processor is too slow for a wide query.
+/// Shares the shards of the own zone out among the hosts that gather there.
 fn own_zone(
     host: &Host,
     plan: &Plan,
@@ -76,27 +66,17 @@
     taken: &[usize],
     now: Instant,
 ) -> Vec<Group> {
-    let own = (host.settings.host.clone(), host.settings.listen.peers);
-    let mut hosts = host.peers.of_zone(&host.settings.zone);
-    hosts.push(own.clone());
-    let names: Vec<HostId> = hosts.iter().map(|(name, _)| name.clone()).collect();
-    let prior = host.latency(&plan.route).median();
+    let rest = (0..gather.shards.len()).filter(|index| !taken.contains(index));
+    let mut rest = rest.collect::<Vec<usize>>().into_iter();
+    let gatherers = host.peers.gatherers_of(&host.settings.zone);
+    let capacities = host.relays.capacities(&gatherers, &plan.route, now);
+    let gathers = host.sharers().gathers;
+    let shares = share_out(rest.len(), host.capacity(), gathers, &capacities);
     let mut groups = Vec::new();
-    for (bucket, shards) in gather.shards.chunks(BUCKET).enumerate() {
-        let homes: Vec<&HostId> =
-            ranking(&shards[0], names.iter()).into_iter().take(HOMES).collect();
-        if homes.contains(&&own.0) {
-            continue;
-        }
-        let at_home = hosts.iter().filter(|(name, _)| homes.contains(&name)).cloned();
-        let indexes = (bucket * BUCKET..bucket * BUCKET + shards.len())
-            .filter(|index| !taken.contains(index));
-        let shards: Vec<usize> = indexes.collect();
-        if shards.len() < MIN_GROUP {
-            continue;
-        }
-        if let Some(relay) = host.relays.choose(at_home, &plan.route, prior, now) {
-            groups.push(Group { relay, shards });
+    for (gatherer, share) in gatherers.into_iter().zip(shares) {
+        let shards: Vec<usize> = rest.by_ref().take(share).collect();
+        if !shards.is_empty() {
+            groups.push(Group { relay: gatherer.into(), shards });
         }
     }
     groups
@@ -124,7 +104,8 @@
         let best = counts.iter().filter(|(_, count)| **count == most);
         let zones: Vec<ZoneId> = best.map(|(zone, _)| (*zone).clone()).collect();
         let prior = host.latency(&plan.route).median();
-        let there = zones.iter().flat_map(|zone| host.peers.of_zone(zone));
+        let there = zones.iter().flat_map(|zone| host.peers.gatherers_of(zone));
+        let there = there.map(|gatherer| (gatherer.host, gatherer.address));
         let Some(relay) = host.relays.choose(there, &plan.route, prior, now) else {
             break;
         };
@@ -176,16 +157,15 @@
             shards: self.shards.iter().map(|index| gather.shards[*index].clone()).collect(),
             min_parts,
             top_records: gather.top_records,
-            answer_within: answer_within(objective.saturating_duration_since(now), gather),
+            answer_within: answer_within(objective.saturating_duration_since(now)),
             time_left: plan.deadline.saturating_duration_since(now),
         }
     }
 }
 
 /// Returns how much of the time to the objective a peer has for its part.
-fn answer_within(time: Duration, gather: &Gather) -> Duration {
-    let back = WAY_BACK + merge_time(gather.shards.len());
-    time.saturating_sub(back).max(time / 2)
+fn answer_within(time: Duration) -> Duration {
+    time.saturating_sub(WAY_BACK).max(time / 2)
 }
 
 /// Answers a query of a peer on the shards that it names.
@@ -211,7 +191,8 @@
         target: Target::Gather(gather.clone()),
     };
     let plan = Arc::new(Plan::new(call, Arc::new(route), host.config()?, arrived));
-    let patience = Patience::new(arrived, query.answer_within, Duration::ZERO, plan.deadline);
+    let writing = answer_time(host.capacity(), gather.shards.len(), 0);
+    let patience = Patience::new(arrived, query.answer_within, writing, plan.deadline);
     let mut gathering = Gathering::new(host, &plan, &gather);
     gathering.ask_directly(query.min_parts, patience.objective());
     // What is there in time is of use to the peer, which has other shards besides. With less than
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -231,7 +231,11 @@
     }
 
     fn extra_share(&self) -> ExtraShare {
-        ExtraShare { bound: self.host.settings.extra, hosts: self.host.sharers().all }
+        let sharers = self.host.sharers();
+        // In a large fleet the other hosts ask this service through the gatherers only.
+        let pooled = self.share().is_pooled() && sharers.gathers;
+        let hosts = if pooled { sharers.gatherers } else { sharers.all };
+        ExtraShare { bound: self.host.settings.extra, hosts }
     }
 
     /// Logs the decision to send the request to a further searcher, or not to.
--- a/crates/edge/src/searchers/lease.rs
+++ b/crates/edge/src/searchers/lease.rs
@@ -58,7 +58,7 @@
             route: route.cloned(),
             connection,
             began: now,
-            keeps: share.keeps(searcher.local),
+            keeps: share.keeps(),
             kept: false,
             waiting: false,
         })
--- a/crates/edge/src/searchers/searcher.rs
+++ b/crates/edge/src/searchers/searcher.rs
@@ -147,6 +147,13 @@
         pool.open = pool.open.saturating_sub(1);
     }
 
+    /// Closes every connection that carries no request.
+    pub fn close_idle(&self) {
+        let mut pool = lock(&self.pool);
+        let closed = std::mem::take(&mut pool.idle).len();
+        pool.open = pool.open.saturating_sub(closed);
+    }
+
     /// Closes idle connections that the searcher closed or is about to close.
     pub fn sweep(&self, now: Instant) {
         let mut pool = lock(&self.pool);
--- a/crates/host/src/node/model.rs
+++ b/crates/host/src/node/model.rs
@@ -26,6 +26,7 @@
 use galenaloft_policy::membership::HostFact;
 use galenaloft_policy::membership::HostState;
 use galenaloft_policy::membership::MemberTable;
+use galenaloft_policy::membership::WHOLE_CORE;
 use galenaloft_policy::ticket::Ticket;
 use galenaloft_policy::ticket::TicketKey;
 use galenaloft_policy::ticket::TicketTable;
@@ -129,6 +130,7 @@
             host: settings.host.clone(),
             zone: settings.zone.clone(),
             address: settings.listen.peers,
+            capacity: WHOLE_CORE,
             incarnation: identity.incarnation,
             generation: identity.generation,
             state: HostState::Alive,
--- a/crates/host/src/publish/watcher.rs
+++ b/crates/host/src/publish/watcher.rs
@@ -18,6 +18,7 @@
 use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::membership::HostFact;
 use galenaloft_policy::membership::HostState;
+use galenaloft_policy::membership::WHOLE_CORE;
 use galenaloft_policy::revision::Stamp;
 use galenaloft_policy::routing::ranking;
 use galenaloft_runtime::clock::now;
@@ -231,6 +232,7 @@
         host: listed.id.as_str().into(),
         zone: listed.zone.as_str().into(),
         address,
+        capacity: WHOLE_CORE,
         incarnation: 0,
         generation: 0,
         state: HostState::Suspect,
--- a/crates/policy/src/gathering/tests.rs
+++ b/crates/policy/src/gathering/tests.rs
@@ -4,6 +4,8 @@
 use quickcheck::quickcheck;
 
 use super::*;
+use crate::ids::Capacity;
+use crate::ids::HostId;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -88,3 +90,39 @@
     }
     assert!(counts[..5].iter().all(|count| (500..=700).contains(count)), "{counts:?}");
 }
+
+/// A zone of the grown deployments: two hosts of half a core, 24 of an eighth.
+fn zone() -> Vec<(HostId, Capacity)> {
+    let capacity = |i: u32| if i % 13 == 5 { 500 } else { 120 };
+    (0..26).map(|i| (format!("h{i:02}").into(), capacity(i))).collect()
+}
+
+#[test]
+fn the_most_capable_hosts_of_a_zone_gather() {
+    let pool = gatherers(zone());
+    assert_eq!(pool.iter().map(|host| &**host).collect::<Vec<_>>(), ["h05", "h18", "h00", "h01"]);
+    let weak = zone().into_iter().map(|(host, _)| (host, 120)).collect();
+    assert_eq!(gatherers(weak).len(), 7);
+    assert_eq!(gatherers(zone().into_iter().take(2).collect()).len(), 2);
+}
+
+#[test]
+fn a_small_host_leaves_a_wide_query_to_the_two_large_ones_and_helps_itself_without_them() {
+    assert_eq!(share_out(90, 120, false, &[500, 120, 500, 120]), [45, 0, 45, 0]);
+    assert_eq!(share_out(90, 500, true, &[500, 120, 120]).iter().sum::<usize>(), 55);
+    let weak = share_out(90, 120, false, &[120; 7]);
+    assert_eq!(weak.iter().sum::<usize>(), 90);
+    assert!(weak.iter().filter(|share| **share > 0).count() >= 4, "{weak:?}");
+    assert_eq!(share_out(90, 120, false, &[]), [0; 0]);
+    assert_eq!(share_out(2, 120, false, &[500, 500]), [2, 0]);
+}
+
+quickcheck! {
+    fn no_shard_is_shared_out_twice(shards: u8, own: u16, gathers: bool, others: Vec<u16>) -> bool {
+        let others: Vec<Capacity> = others.into_iter().map(Capacity::from).collect();
+        let shares = share_out(usize::from(shards), u32::from(own) + 1, gathers, &others);
+        let taken: usize = shares.iter().sum();
+        let helped = others.iter().any(|capacity| *capacity > 0);
+        taken <= usize::from(shards) && (gathers || !helped || taken == usize::from(shards))
+    }
+}
--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -55,3 +55,6 @@
 
 /// Revision of the platform's store, which grows with each of its changes.
 pub type StoreRevision = u64;
+
+/// What a host has of a processor, in thousandths of a core of usual speed.
+pub type Capacity = u32;
--- a/crates/policy/src/membership/fact.rs
+++ b/crates/policy/src/membership/fact.rs
@@ -5,10 +5,14 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ids::Capacity;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::ids::ZoneId;
 
+/// Capacity of a host that has one core of usual speed to itself.
+pub const WHOLE_CORE: Capacity = 1_000;
+
 /// State of a host; of two facts of one generation the greater state wins.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum HostState {
@@ -31,6 +35,8 @@
     pub zone: ZoneId,
     /// Where it answers other hosts.
     pub address: SocketAddr,
+    /// What it has of a processor.
+    pub capacity: Capacity,
     /// The run of the process that the fact is about.
     pub incarnation: Incarnation,
     /// Grows each time the host refutes a suspicion and at each start.
--- a/crates/policy/src/membership/mod.rs
+++ b/crates/policy/src/membership/mod.rs
@@ -7,5 +7,6 @@
 
 pub use fact::HostFact;
 pub use fact::HostState;
+pub use fact::WHOLE_CORE;
 pub use table::Change;
 pub use table::MemberTable;
--- a/crates/policy/src/membership/tests.rs
+++ b/crates/policy/src/membership/tests.rs
@@ -10,6 +10,7 @@
         host: format!("h{host}").into(),
         zone: "a".into(),
         address: "127.0.0.1:1".parse().unwrap(),
+        capacity: WHOLE_CORE,
         incarnation: u64::from(host),
         generation,
         state,
--- a/crates/policy/src/routing/share.rs
+++ b/crates/policy/src/routing/share.rs
@@ -1,27 +1,45 @@
 //! How the hosts share the connections that a searcher accepts.
 
-/// Part of a searcher's connections that the hosts of its own zone share out when all hosts together
-/// cannot have one each. The rest serves hosts of other zones that need it for one request.
-const OWN_ZONE_PART: f64 = 0.9;
+/// Part of a searcher's connections that the gatherers of its own zone share out when all hosts
+/// together cannot have one each.
+const OWN_ZONE_PART: f64 = 0.6;
+
+/// Part that the gatherers of other zones share out then. The rest serves hosts that need a
+/// connection for one request.
+const OTHER_ZONES_PART: f64 = 0.3;
 
 /// Hosts that share a searcher's connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Sharers {
     /// Hosts of all zones.
     pub all: usize,
-    /// Hosts of one zone.
-    pub in_zone: usize,
+    /// Hosts that gather wide queries for the others, of all zones.
+    pub gatherers: usize,
+    /// Those of the own zone.
+    pub gatherers_in_zone: usize,
+    /// Whether this host is one of them.
+    pub gathers: bool,
+}
+
+/// Who has connections to a searcher.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Holders {
+    /// Every host.
+    All,
+    /// Hosts that gather for the others, of which this is one.
+    Gatherers,
+    /// Hosts that gather for this one.
+    Others,
 }
 
 /// What one host may use of a searcher's connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionShare {
+    holders: Holders,
     /// Connections to a searcher of the own zone.
-    pub own_zone: usize,
+    own_zone: usize,
     /// Connections to a searcher of another zone.
-    pub other_zone: usize,
-    /// Whether connections to other zones are kept for later requests.
-    pub keeps_other_zone: bool,
+    other_zone: usize,
 }
 
 impl ConnectionShare {
@@ -29,10 +47,21 @@
     pub fn new(max_connections: usize, sharers: Sharers) -> Self {
         let each = max_connections / sharers.all.max(1);
         if each >= 1 {
-            return Self { own_zone: each, other_zone: each, keeps_other_zone: true };
+            return Self { holders: Holders::All, own_zone: each, other_zone: each };
+        }
+        if !sharers.gathers {
+            return Self { holders: Holders::Others, own_zone: 1, other_zone: 1 };
+        }
+        let part = |share: f64, hosts: usize| {
+            let connections = max_connections as f64 * share / hosts.max(1) as f64;
+            (connections as usize).max(1)
+        };
+        let outside = sharers.gatherers.saturating_sub(sharers.gatherers_in_zone);
+        Self {
+            holders: Holders::Gatherers,
+            own_zone: part(OWN_ZONE_PART, sharers.gatherers_in_zone),
+            other_zone: part(OTHER_ZONES_PART, outside),
         }
-        let own = max_connections as f64 * OWN_ZONE_PART / sharers.in_zone.max(1) as f64;
-        Self { own_zone: (own as usize).max(1), other_zone: 1, keeps_other_zone: false }
     }
 
     /// Returns how many connections the host may have to a searcher.
@@ -41,7 +70,21 @@
     }
 
     /// Returns whether a connection to a searcher is kept for later requests.
-    pub fn keeps(&self, own_zone: bool) -> bool {
-        own_zone || self.keeps_other_zone
+    pub fn keeps(&self) -> bool {
+        self.holders != Holders::Others
+    }
+
+    /// Returns whether connections to a searcher are opened before they are needed.
+    pub fn opens_ahead(&self, own_zone: bool) -> bool {
+        match self.holders {
+            Holders::All => true,
+            Holders::Gatherers => own_zone,
+            Holders::Others => false,
+        }
+    }
+
+    /// Returns whether some hosts gather for the others.
+    pub fn is_pooled(&self) -> bool {
+        self.holders != Holders::All
     }
 }
--- a/crates/policy/src/routing/tests.rs
+++ b/crates/policy/src/routing/tests.rs
@@ -112,15 +112,20 @@
 }
 
 #[test]
-fn connections_go_to_the_hosts_of_the_searchers_zone_when_there_are_too_few_for_all() {
-    let few = ConnectionShare::new(26, Sharers { all: 8, in_zone: 3 });
+fn connections_go_to_the_gatherers_when_there_are_too_few_for_all() {
+    let sharers = Sharers { all: 8, gatherers: 7, gatherers_in_zone: 3, gathers: false };
+    let few = ConnectionShare::new(26, sharers);
     assert_eq!((few.limit(true), few.limit(false)), (3, 3));
-    assert!(few.keeps(true) && few.keeps(false));
-    let many = ConnectionShare::new(60, Sharers { all: 77, in_zone: 26 });
-    assert_eq!((many.limit(true), many.limit(false)), (2, 1));
-    assert!(many.keeps(true) && !many.keeps(false));
-    let all = 26 * many.limit(true);
+    assert!(few.keeps() && few.opens_ahead(false) && !few.is_pooled());
+    let sharers = Sharers { all: 77, gatherers: 12, gatherers_in_zone: 4, gathers: true };
+    let many = ConnectionShare::new(60, sharers);
+    assert_eq!((many.limit(true), many.limit(false)), (9, 2));
+    assert!(many.keeps() && many.opens_ahead(true) && !many.opens_ahead(false));
+    let all = 4 * many.limit(true) + 8 * many.limit(false);
     assert!(all <= 60, "{all}");
+    let other = ConnectionShare::new(60, Sharers { gathers: false, ..sharers });
+    assert_eq!((other.limit(true), other.limit(false)), (1, 1));
+    assert!(!other.keeps() && !other.opens_ahead(true) && other.is_pooled());
 }
 
 #[test]
