--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -25,8 +25,8 @@
 use crate::query::Plan;
 use crate::query::gather::Gathering;
 
-/// Time that a peer's answer needs on its way back, whatever its size.
-const WAY_BACK: Duration = Duration::from_millis(3);
+/// Time that a peer's answer needs: 3 ms between zones both ways, and to be read on a small host.
+const WAY_BACK: Duration = Duration::from_micros(4_500);
 
 /// Part of the time to the objective after which a peer that has not answered is passed over.
 const PATIENCE_PART: f64 = 0.45;
