A fault soak over real edge hosts

Plays seeds of faults from outside the processes: signals, a proxy before the store and before each searcher, stand-ins that misbehave. Checks what callers and searchers saw.

--- /dev/null
+++ b/tools/soak/src/run.rs
@@ -0,0 +1,91 @@
+//! One seed from start to verdict.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::callers;
+use crate::callers::Record;
+use crate::check;
+use crate::plan;
+use crate::plan::Kinds;
+pub use crate::world::Size;
+use crate::world::World;
+
+/// Callers for each host.
+const CALLERS: usize = 2;
+
+/// Time after the last fault until the system must serve everything again.
+const RECOVERY: Duration = Duration::from_secs(5);
+
+/// Time for which it is watched then.
+const AFTER: Duration = Duration::from_secs(2);
+
+/// What a seed showed.
+#[derive(Debug, Clone)]
+pub struct Report {
+    /// The seed.
+    pub seed: u64,
+    /// Requests sent.
+    pub requests: usize,
+    /// Requests answered with success.
+    pub served: usize,
+    /// Actions played.
+    pub actions: usize,
+    /// Promises that were broken, empty on success.
+    pub broken: Vec<String>,
+}
+
+/// Plays one seed for `time` of faults, and checks what callers and searchers saw.
+pub async fn run(seed: u64, size: Size, time: Duration) -> io::Result<Report> {
+    let hosts = size.hosts;
+    let shards = size.shards;
+    let world = World::start(size).await?;
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let kinds = Kinds::of(seed);
+    let began = Instant::now();
+    let record = Record::default();
+    let faults_end = began + time;
+    let stop = Arc::new(tokio::sync::watch::channel(false).0);
+    let addresses = Arc::new(world.callers().await);
+    let mut load = JoinSet::new();
+    for number in 0..hosts * CALLERS {
+        let until = stop.subscribe();
+        let (addresses, record) = (addresses.clone(), record.clone());
+        load.spawn(callers::call_until(addresses, record, seed, number, until));
+    }
+    let mut played = JoinSet::new();
+    let mut actions = 0;
+    while Instant::now() < faults_end {
+        let action = plan::draw(kinds, &mut rng);
+        println!("seed={seed} at_ms={} action={action:?}", began.elapsed().as_millis());
+        actions += 1;
+        let world = world.clone();
+        played.spawn(async move { world.play(action).await });
+        sleep(plan::pause(&mut rng)).await;
+    }
+    while let Some(result) = played.join_next().await {
+        result.map_err(io::Error::other)??;
+    }
+    world.settle().await;
+    sleep(RECOVERY).await;
+    let recovered = Instant::now();
+    sleep(AFTER).await;
+    stop.send_replace(true);
+    while let Some(result) = load.join_next().await {
+        result.map_err(io::Error::other)?;
+    }
+    world.check_processes().await;
+    let seen = record.all();
+    let history = world.history();
+    let mut broken = history.broken.clone();
+    broken.extend(check::check(&seen, &history, shards, recovered));
+    let served = seen.iter().filter(|seen| seen.is_served()).count();
+    Ok(Report { seed, requests: seen.len(), served, actions, broken })
+}
