A searcher that is gone while the store was away is told to the other hosts

Cause: the reading host left lapsed entries out of its news, and the others moved past the revision. Ruled out: dead connections in the pools (the attempts failed on new ones too), the searcher's own return (its id was never listed again). Logs: failed attempts and changes of the list of searchers have a line each, which this needed. Soak: its callers noted the next host instead of the one that failed them; corrected.

--- a/bin/galenaloft-edge/tests/edge/changes.rs
+++ b/bin/galenaloft-edge/tests/edge/changes.rs
@@ -227,3 +227,27 @@
         assert!(counts.values().all(|count| *count <= 2), "{counts:?}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_host_forgets_a_searcher_that_left_while_the_store_was_away() {
+    let scene = scene().await;
+    let hosts = [
+        Edge::ready(&scene, "a", 1, 28290).await,
+        Edge::ready(&scene, "a", 2, 28290).await,
+        Edge::ready(&scene, "b", 3, 28290).await,
+    ];
+    scene.store.set_fault(StoreFault::Refuse(503));
+    sleep(2_500 * MS).await;
+    scene.singles[0].deregister();
+    sleep(500 * MS).await;
+    scene.store.set_fault(StoreFault::None);
+    // Its entry is missed for two seconds, in which it may be back, and found missing a second later.
+    sleep(4_500 * MS).await;
+    let before = scene.singles[0].runs();
+    for host in &hosts {
+        for _ in 0..4 {
+            assert_eq!(host.get(FETCH_PATH).await.status, 200);
+        }
+    }
+    assert_eq!(scene.singles[0].runs(), before);
+}
--- a/crates/edge/src/query/attempt.rs
+++ b/crates/edge/src/query/attempt.rs
@@ -13,6 +13,7 @@
 use galenaloft_policy::verdict::Verdict;
 use galenaloft_runtime::clock::now;
 use galenaloft_runtime::sync::lock;
+use galenaloft_telemetry::log::Event;
 use tokio::time::timeout;
 
 use crate::host::Host;
@@ -73,7 +74,22 @@
     Err(AttemptFailure { verdict, why })
 }
 
-async fn run(host: Arc<Host>, plan: Arc<Plan>, mut lease: Lease) -> Outcome {
+async fn run(host: Arc<Host>, plan: Arc<Plan>, lease: Lease) -> Outcome {
+    let searcher = lease.searcher.clone();
+    let outcome = exchange(host, &plan, lease).await;
+    if let Err(AttemptFailure { verdict, why }) = &outcome {
+        Event::new("attempt_failed")
+            .with("request", &plan.call.id)
+            .with("service", &searcher.entry.service)
+            .with("searcher", &searcher.entry.id)
+            .with("verdict", format!("{verdict:?}"))
+            .with("why", why)
+            .info();
+    }
+    outcome
+}
+
+async fn exchange(host: Arc<Host>, plan: &Arc<Plan>, mut lease: Lease) -> Outcome {
     let searcher = lease.searcher.clone();
     if lease.connect().await.is_err() {
         lock(&searcher.health).note_unreachable(now());
@@ -85,7 +101,7 @@
         return failed(Verdict::NotRun, "expired");
     }
     let req = searcher::request(&plan.call, &searcher.entry.id, left);
-    let patience = silence(&host, &plan).map_or(left, |silence| silence.min(left));
+    let patience = silence(&host, plan).map_or(left, |silence| silence.min(left));
     let reply = match timeout(patience, lease.exchange(req)).await {
         Ok(Ok(reply)) => reply,
         Err(_) => {
@@ -98,7 +114,7 @@
                 return failed(Verdict::NotRun, "not_sent");
             }
             lock(&searcher.health).note_failure(present);
-            suspicion::check(&host, &plan, &searcher);
+            suspicion::check(&host, plan, &searcher);
             return failed(Verdict::MayHaveRun, "connection_lost");
         }
     };
--- a/crates/edge/src/searchers/fleet.rs
+++ b/crates/edge/src/searchers/fleet.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use galenaloft_policy::directory::Directory;
+use galenaloft_policy::directory::SearcherEntry;
 use galenaloft_policy::directory::SearcherState;
 use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::ids::ServiceId;
@@ -14,6 +15,7 @@
 use galenaloft_policy::routing::ConnectionShare;
 use galenaloft_policy::routing::ExtraBudget;
 use galenaloft_runtime::sync::lock;
+use galenaloft_telemetry::log::Event;
 use tokio::sync::Notify;
 
 use crate::searchers::Searcher;
@@ -156,10 +158,12 @@
                 Some(known) => known,
                 None => {
                     let local = entry.zone == self.zone;
+                    note_change("searcher_listed", entry);
                     Arc::new(Searcher::new(entry.clone(), local))
                 }
             };
-            if entry.state == SearcherState::Draining {
+            if entry.state == SearcherState::Draining && !searcher.is_draining() {
+                note_change("searcher_draining", entry);
                 searcher.drain();
             }
             listed.entry(entry.service.clone()).or_default().push(searcher);
@@ -169,11 +173,11 @@
             let before = std::mem::replace(&mut *lock(&service.searchers), searchers.clone());
             let gone =
                 before.iter().filter(|old| !searchers.iter().any(|new| Arc::ptr_eq(old, new)));
-            gone.for_each(|searcher| searcher.drain());
+            gone.for_each(|searcher| end(searcher));
         }
         lock(&self.services).retain(|id, service| {
             if !listed.contains_key(id) {
-                lock(&service.searchers).drain(..).for_each(|searcher| searcher.drain());
+                lock(&service.searchers).drain(..).for_each(|searcher| end(&searcher));
             }
             listed.contains_key(id) || Arc::strong_count(service) > 1
         });
@@ -185,3 +189,19 @@
         searchers.iter().find(|searcher| searcher.entry.id == *id).cloned()
     }
 }
+
+/// Uses a searcher no more, since the store lists it no longer.
+fn end(searcher: &Searcher) {
+    note_change("searcher_gone", &searcher.entry);
+    searcher.drain();
+}
+
+fn note_change(event: &str, entry: &SearcherEntry) {
+    Event::new(event)
+        .with("searcher", &entry.id)
+        .with("service", &entry.service)
+        .with("zone", &entry.zone)
+        .with("address", entry.address)
+        .with("born", entry.born)
+        .info();
+}
--- a/crates/edge/src/store/reader.rs
+++ b/crates/edge/src/store/reader.rs
@@ -8,6 +8,7 @@
 use galenaloft_adapter::store::StoreClient;
 use galenaloft_adapter::store::StoreError;
 use galenaloft_adapter::store::Update;
+use galenaloft_policy::directory::Applied;
 use galenaloft_policy::directory::Directory;
 use galenaloft_policy::directory::Revised;
 use galenaloft_policy::freshness::Freshness;
@@ -217,16 +218,19 @@
         }
     }
 
-    /// Applies changes. Returns those that were more than heartbeats.
+    /// Applies changes. Returns those that other hosts need to know.
     fn apply(&mut self, changes: Vec<Revised>, now: Instant) -> Vec<Revised> {
-        let mut real = Vec::new();
+        let mut news = Vec::new();
+        let mut changed = false;
         for revised in changes {
-            if self.directory.apply(revised.clone(), now) {
-                real.push(revised);
+            let applied = self.directory.apply(revised.clone(), now);
+            changed |= applied == Applied::Changed;
+            if applied != Applied::Nothing {
+                news.push(revised);
             }
         }
-        self.publish(!real.is_empty());
-        real
+        self.publish(changed);
+        news
     }
 
     /// Notes that everything up to `at` is known.
--- a/crates/policy/src/directory/listing.rs
+++ b/crates/policy/src/directory/listing.rs
@@ -28,6 +28,18 @@
     Removed(SearcherId),
 }
 
+/// What a change did to the list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Applied {
+    /// Nothing: it is a heartbeat, or older than what is known.
+    Nothing,
+    /// The set of usable searchers or their entries changed.
+    Changed,
+    /// An entry is gone that may only have lapsed while the store was away. Other hosts need to know,
+    /// although nothing changes yet.
+    Lapsed,
+}
+
 /// A change with the store's revision at which it was made.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Revised {
@@ -71,9 +83,8 @@
         }
     }
 
-    /// Applies one change unless a later one of the same searcher is known. Returns whether the
-    /// set of usable searchers or their entries changed.
-    pub fn apply(&mut self, revised: Revised, now: Instant) -> bool {
+    /// Applies one change unless a later one of the same searcher is known.
+    pub fn apply(&mut self, revised: Revised, now: Instant) -> Applied {
         let Revised { change, revision } = revised;
         let id = match &change {
             Change::Written(entry) => &entry.id,
@@ -81,7 +92,7 @@
         };
         let listed = self.listed.get(id).map(|listed| listed.revision);
         if listed.max(self.removed.get(id).copied()) > Some(revision) {
-            return false;
+            return Applied::Nothing;
         }
         match change {
             Change::Written(entry) => {
@@ -90,7 +101,7 @@
                 let known = self.listed.get(&id);
                 let changed = known.is_none_or(|known| known.entry != entry);
                 self.listed.insert(id, Listed { entry, revision, lapsed: false });
-                changed
+                if changed { Applied::Changed } else { Applied::Nothing }
             }
             Change::Removed(id) => self.remove(&id, revision, now),
         }
@@ -111,12 +122,12 @@
             if let Change::Written(entry) = &revised.change {
                 gone.remove(&entry.id);
             }
-            changed |= self.apply(revised, now);
+            changed |= self.apply(revised, now) == Applied::Changed;
         }
         // What was written after the listing began may be missing from it.
         gone.retain(|_, written| *written <= revision);
         for id in gone.keys() {
-            changed |= self.remove(id, revision, now);
+            changed |= self.remove(id, revision, now) == Applied::Changed;
         }
         changed
     }
@@ -146,21 +157,21 @@
         present.map(revised).collect()
     }
 
-    fn remove(&mut self, id: &SearcherId, revision: StoreRevision, now: Instant) -> bool {
+    fn remove(&mut self, id: &SearcherId, revision: StoreRevision, now: Instant) -> Applied {
         let may_return = self.may_have_lapsed(now);
         if self.removed.len() >= MAX_REMOVED {
             self.removed.clear();
         }
         self.removed.insert(id.clone(), revision);
         let Some(listed) = self.listed.get_mut(id) else {
-            return false;
+            return Applied::Nothing;
         };
         if may_return && listed.entry.state == SearcherState::Ready {
             listed.lapsed = true;
-            return false;
+            return Applied::Lapsed;
         }
         self.listed.remove(id);
-        true
+        Applied::Changed
     }
 
     /// Whether an entry may be missing only because the store was away.
--- a/crates/policy/src/directory/tests.rs
+++ b/crates/policy/src/directory/tests.rs
@@ -32,9 +32,10 @@
 fn an_unchanged_heartbeat_is_no_change() {
     let now = Instant::now();
     let mut directory = Directory::default();
-    assert!(directory.apply(written("a", SearcherState::Ready, 1), now));
-    assert!(!directory.apply(written("a", SearcherState::Ready, 2), now));
-    assert!(directory.apply(written("a", SearcherState::Draining, 3), now));
+    let mut apply = |revised| directory.apply(revised, now);
+    assert_eq!(apply(written("a", SearcherState::Ready, 1)), Applied::Changed);
+    assert_eq!(apply(written("a", SearcherState::Ready, 2)), Applied::Nothing);
+    assert_eq!(apply(written("a", SearcherState::Draining, 3)), Applied::Changed);
 }
 
 #[test]
@@ -42,11 +43,11 @@
     let now = Instant::now();
     let mut directory = Directory::default();
     directory.apply(written("a", SearcherState::Draining, 5), now);
-    assert!(!directory.apply(written("a", SearcherState::Ready, 4), now));
-    assert!(directory.apply(removed("a", 6), now));
-    assert!(!directory.apply(written("a", SearcherState::Ready, 5), now));
+    assert_eq!(directory.apply(written("a", SearcherState::Ready, 4), now), Applied::Nothing);
+    assert_eq!(directory.apply(removed("a", 6), now), Applied::Changed);
+    assert_eq!(directory.apply(written("a", SearcherState::Ready, 5), now), Applied::Nothing);
     assert!(ids(&directory).is_empty());
-    assert!(directory.apply(written("a", SearcherState::Ready, 7), now));
+    assert_eq!(directory.apply(written("a", SearcherState::Ready, 7), now), Applied::Changed);
 }
 
 #[test]
@@ -64,7 +65,7 @@
     let now = Instant::now();
     let mut directory = Directory::default();
     directory.apply(written("a", SearcherState::Ready, 1), now);
-    assert!(directory.apply(removed("a", 2), now));
+    assert_eq!(directory.apply(removed("a", 2), now), Applied::Changed);
     assert!(ids(&directory).is_empty());
 }
 
@@ -83,3 +84,13 @@
     assert!(directory.expire(back + Duration::from_millis(2_400)));
     assert!(ids(&directory).is_empty());
 }
+
+#[test]
+fn a_removal_seen_while_the_store_was_away_is_told_to_others() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.apply(written("a", SearcherState::Ready, 1), now);
+    directory.note_store_failure(now);
+    assert_eq!(directory.apply(removed("a", 2), now), Applied::Lapsed);
+    assert_eq!(directory.apply(removed("b", 3), now), Applied::Nothing);
+}
--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -128,11 +128,12 @@
         let leaves = rng.random_bool(LEAVES).then(|| rng.random_range(1..40));
         let sent = Instant::now();
         let end = exchange(&mut connection, hosts[host], &request, leaves).await;
-        if !matches!(end, End::Answered(_)) {
+        let answered = matches!(end, End::Answered(_));
+        record.add(Seen { host, sent, ended: Instant::now(), end, ..request });
+        if !answered {
             connection = None;
             host = (host + 1) % hosts.len();
         }
-        record.add(Seen { host, sent, ended: Instant::now(), end, ..request });
     }
 }
 
