--- a/bin/galenaloft-edge/tests/edge/changes.rs
+++ b/bin/galenaloft-edge/tests/edge/changes.rs
@@ -251,3 +251,24 @@
     }
     assert_eq!(scene.singles[0].runs(), before);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_host_keeps_searchers_that_lapsed_with_the_store_and_are_back() {
+    let scene = scene().await;
+    let hosts = [
+        Edge::ready(&scene, "a", 1, 28300).await,
+        Edge::ready(&scene, "a", 2, 28300).await,
+        Edge::ready(&scene, "b", 3, 28300).await,
+    ];
+    scene.store.set_fault(StoreFault::Refuse(503));
+    sleep(2_500 * MS).await;
+    scene.singles.iter().for_each(Searcher::deregister);
+    sleep(500 * MS).await;
+    scene.store.set_fault(StoreFault::None);
+    sleep(1_500 * MS).await;
+    scene.singles.iter().for_each(Searcher::register_again);
+    sleep(3_000 * MS).await;
+    for host in &hosts {
+        assert_eq!(host.get(FETCH_PATH).await.status, 200);
+    }
+}
--- a/crates/policy/src/directory/listing.rs
+++ b/crates/policy/src/directory/listing.rs
@@ -38,6 +38,8 @@
     /// An entry is gone that may only have lapsed while the store was away. Other hosts need to know,
     /// although nothing changes yet.
     Lapsed,
+    /// An entry that had lapsed is there again, which other hosts need to know too.
+    Returned,
 }
 
 /// A change with the store's revision at which it was made.
@@ -99,9 +101,14 @@
                 let id = entry.id.clone();
                 self.removed.remove(&id);
                 let known = self.listed.get(&id);
-                let changed = known.is_none_or(|known| known.entry != entry);
+                let applied = match known {
+                    Some(known) if known.entry != entry => Applied::Changed,
+                    Some(known) if known.lapsed => Applied::Returned,
+                    Some(_) => Applied::Nothing,
+                    None => Applied::Changed,
+                };
                 self.listed.insert(id, Listed { entry, revision, lapsed: false });
-                if changed { Applied::Changed } else { Applied::Nothing }
+                applied
             }
             Change::Removed(id) => self.remove(&id, revision, now),
         }
--- a/crates/policy/src/directory/tests.rs
+++ b/crates/policy/src/directory/tests.rs
@@ -93,4 +93,6 @@
     directory.note_store_failure(now);
     assert_eq!(directory.apply(removed("a", 2), now), Applied::Lapsed);
     assert_eq!(directory.apply(removed("b", 3), now), Applied::Nothing);
+    assert_eq!(directory.apply(written("a", SearcherState::Ready, 4), now), Applied::Returned);
+    assert_eq!(directory.apply(written("a", SearcherState::Ready, 5), now), Applied::Nothing);
 }
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -42,6 +42,9 @@
     HarmStore { host: usize, harm: Harm, time: Duration },
     /// The store misbehaves towards every host for a while.
     StoreFault { fault: StoreFault, time: Duration },
+    /// The store is away for a while, in which every searcher's entry lapses; they are listed again
+    /// within the time that the platform states.
+    Lapse { time: Duration },
     /// The store forgets its history.
     Compact,
     /// A searcher misbehaves for a while.
@@ -80,7 +83,7 @@
     let time = rng.random_range(300..4_000) * MS;
     let limit = match kinds {
         Kinds::Planned => 5,
-        Kinds::All => 16,
+        Kinds::All => 17,
     };
     match rng.random_range(0..limit) {
         0 | 1 => Action::Stop { host: number },
@@ -97,7 +100,8 @@
             Action::SearcherFault { searcher: number, fault, time }
         }
         12 => Action::Slow { searcher: number, work: rng.random_range(30..600) * MS, time },
-        13 | 14 => Action::HarmSearcher { searcher: number, harm: harm(rng), time },
+        13 => Action::Lapse { time },
+        14 | 15 => Action::HarmSearcher { searcher: number, harm: harm(rng), time },
         _ => Action::Crash { searcher: number, down: time },
     }
 }
--- a/tools/soak/src/world.rs
+++ b/tools/soak/src/world.rs
@@ -44,6 +44,9 @@
 /// Time for which a searcher that said that it is leaving still serves, and a little more.
 const LEAVES_AFTER: Duration = Duration::from_millis(3_800);
 
+/// Time from the store's return until lapsed entries are back; the platform states about 2 s.
+const RETURN_TIME: Duration = Duration::from_millis(1_500);
+
 /// Time for which a new searcher is listed before the old one leaves.
 const OVERLAP: Duration = Duration::from_millis(600);
 
@@ -235,6 +238,7 @@
                 self.store.set_fault(StoreFault::None);
                 self.end(event);
             }
+            Action::Lapse { time } => self.lapse(time).await,
             Action::Compact => self.store.compact(),
             Action::SearcherFault { searcher, fault, time } => {
                 let searcher = self.place(searcher).current.lock().await.0.clone();
@@ -357,6 +361,25 @@
         Ok(())
     }
 
+    async fn lapse(&self, time: Duration) {
+        let event = self.begin(Target::Store);
+        self.store.set_fault(StoreFault::Refuse(503));
+        sleep(time / 2).await;
+        let mut lapsed = Vec::new();
+        for place in &self.places {
+            // One that is being replaced or is down is left to that.
+            if let Ok(current) = place.current.try_lock() {
+                current.0.deregister();
+                lapsed.push(current);
+            }
+        }
+        sleep(time / 2).await;
+        self.store.set_fault(StoreFault::None);
+        sleep(RETURN_TIME).await;
+        lapsed.iter().for_each(|current| current.0.register_again());
+        self.end(event);
+    }
+
     async fn replace(&self, searcher: usize) -> io::Result<()> {
         let place = self.place(searcher);
         let Ok(mut current) = place.current.try_lock() else {
