A shard that is asked through a peer and directly keeps to the searchers that both know

Ruled out: hedges on one host (each keeps its list of those it tried). Mend: the query to the peer names the searchers where there are no more than attempts. Test: a choice keeps to the searchers that are named.

--- a/crates/edge/src/peers/members.rs
+++ b/crates/edge/src/peers/members.rs
@@ -266,12 +266,12 @@
     table.working().filter(move |fact| all <= MAX_SHARED || fact.zone == *zone)
 }
 
-/// Returns the peer addresses of the seeds: every host has the same port.
 /// Returns what the host has of a processor, at least the smallest capacity that counts.
 pub fn capacity(settings: &EdgeSettings) -> Capacity {
     (settings.cores * f64::from(WHOLE_CORE)).round().max(1.0) as Capacity
 }
 
+/// Returns the peer addresses of the seeds: every host has the same port.
 fn seeds_of(settings: &EdgeSettings) -> Vec<SocketAddr> {
     let own = settings.listen.peers;
     let others = settings.seeds.iter().map(SocketAddr::ip).filter(|ip| *ip != own.ip());
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -6,6 +6,7 @@
 use galenaloft_policy::ids::ConfigVersion;
 use galenaloft_policy::ids::Rank;
 use galenaloft_policy::ids::RouteName;
+use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::ids::StoreRevision;
 use galenaloft_policy::membership::HostFact;
@@ -88,6 +89,8 @@
     pub target_latency: Duration,
     /// The shards.
     pub shards: Vec<ServiceId>,
+    /// For each shard the searchers that may be asked; none stands for all that are listed.
+    pub allowed: Vec<Vec<SearcherId>>,
     /// Fewest parts that the whole query needs of them.
     pub min_parts: usize,
     /// Most records that are wanted.
--- a/crates/edge/src/query/gather.rs
+++ b/crates/edge/src/query/gather.rs
@@ -19,6 +19,7 @@
 use galenaloft_policy::gathering::Wait;
 use galenaloft_policy::gathering::answer_time;
 use galenaloft_policy::gathering::select_shards;
+use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::route::Gather;
 use galenaloft_runtime::clock::now;
 use galenaloft_runtime::clock::sleep_until;
@@ -79,6 +80,8 @@
     waiting: Vec<(Group, Instant)>,
     /// Shards that were not asked, or that a peer's answer left out.
     left_out: Vec<LeftOut>,
+    /// For each shard the searchers that may be asked; none stands for all that are listed.
+    allowed: Vec<Vec<SearcherId>>,
     may_have_run: bool,
 }
 
@@ -97,10 +100,18 @@
             through_peers: vec![false; gather.shards.len()],
             waiting: Vec::new(),
             left_out: Vec::new(),
+            allowed: vec![Vec::new(); gather.shards.len()],
             may_have_run: false,
         }
     }
 
+    /// Restricts the searchers that may be asked, as a peer wants it.
+    pub fn allow_only(&mut self, allowed: Vec<Vec<SearcherId>>) {
+        if allowed.len() == self.allowed.len() {
+            self.allowed = allowed;
+        }
+    }
+
     /// Asks one searcher of each shard directly, except for shards that would not answer in time
     /// and that the floor can do without.
     pub fn ask_directly(&mut self, min_parts: usize, objective: Instant) {
@@ -118,6 +129,14 @@
         let asked = self.ask_shards(&direct, needed, objective, present);
         // What the direct shards leave of the share that may be missing is left to the groups.
         let needed = min_parts.saturating_sub(asked);
+        // A shard with no more searchers than attempts may be asked through a peer and again
+        // directly, if both keep to the searchers that are listed now.
+        for index in through_peers.iter().copied() {
+            let listed = self.host.fleet.service(&self.gather.shards[index]).searchers();
+            if listed.len() <= self.plan.route.max_attempts as usize {
+                self.allowed[index] = listed.iter().map(|s| s.entry.id.clone()).collect();
+            }
+        }
         for group in groups {
             let others = through_peers.len() - group.shards.len();
             self.ask_group(group, needed.saturating_sub(others), objective, present);
@@ -249,6 +268,7 @@
     fn ask_shard(&mut self, index: usize, extra: bool) {
         let service = &self.gather.shards[index];
         let mut query = ShardQuery::new(self.host, self.plan, service, &self.over);
+        query.allow_only(&self.allowed[index]);
         if extra && !query.spend_extra() {
             return;
         }
@@ -262,7 +282,8 @@
     fn ask_group(&mut self, group: Group, min_parts: usize, objective: Instant, present: Instant) {
         self.open += group.shards.len();
         self.waiting.push((group.clone(), group.overdue_at(self.host, objective, present)));
-        let query = group.query(self.plan, self.gather, min_parts, objective, present);
+        let query =
+            group.query(self.plan, self.gather, &self.allowed, min_parts, objective, present);
         let (host, plan) = (self.host.clone(), self.plan.clone());
         self.running.push(Box::pin(async move {
             let reply = host.relays.gather(&group.relay, &plan.route, query).await;
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -12,6 +12,7 @@
 use galenaloft_policy::gathering::Patience;
 use galenaloft_policy::gathering::answer_time;
 use galenaloft_policy::gathering::share_out;
+use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::ids::ZoneId;
 use galenaloft_policy::route::Gather;
 use galenaloft_policy::route::Route;
@@ -136,6 +137,7 @@
         &self,
         plan: &Plan,
         gather: &Gather,
+        allowed: &[Vec<SearcherId>],
         min_parts: usize,
         objective: Instant,
         now: Instant,
@@ -155,6 +157,7 @@
             max_attempts: plan.route.max_attempts,
             target_latency: plan.route.target_latency,
             shards: self.shards.iter().map(|index| gather.shards[*index].clone()).collect(),
+            allowed: self.shards.iter().map(|index| allowed[*index].clone()).collect(),
             min_parts,
             top_records: gather.top_records,
             answer_within: answer_within(objective.saturating_duration_since(now)),
@@ -194,6 +197,7 @@
     let writing = answer_time(host.capacity(), gather.shards.len(), 0);
     let patience = Patience::new(arrived, query.answer_within, writing, plan.deadline);
     let mut gathering = Gathering::new(host, &plan, &gather);
+    gathering.allow_only(query.allowed);
     gathering.ask_directly(query.min_parts, patience.objective());
     // What is there in time is of use to the peer, which has other shards besides. With less than
     // half of them its floor is out of reach, and the rest is worth the wait.
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -24,6 +24,7 @@
 use crate::query::attempt;
 use crate::query::attempt::Attempt;
 use crate::query::attempt::AttemptFailure;
+use crate::searchers::Among;
 use crate::searchers::Choice;
 use crate::searchers::Lease;
 use crate::searchers::Reach;
@@ -62,6 +63,8 @@
     service_id: ServiceId,
     service: Arc<Service>,
     tried: Vec<SearcherId>,
+    /// Searchers that may be asked; none stands for all that are listed.
+    allowed: Vec<SearcherId>,
     running: FuturesUnordered<Attempt>,
     /// When the running attempts are overdue.
     overdue: Option<Instant>,
@@ -87,6 +90,7 @@
             plan: plan.clone(),
             service_id: service_id.clone(),
             tried: Vec::new(),
+            allowed: Vec::new(),
             running: FuturesUnordered::new(),
             overdue: None,
             may_have_run: false,
@@ -95,13 +99,17 @@
         }
     }
 
+    /// Restricts the searchers that may be asked; none stands for all that are listed.
+    pub fn allow_only(&mut self, allowed: &[SearcherId]) {
+        self.allowed = allowed.to_vec();
+    }
+
     /// Pays for a request on a shard that was already asked through a peer, and leaves it one
     /// attempt. Returns whether the budget and the route allow it: the peer may have asked any of
-    /// the searchers, and no others may be left.
+    /// the searchers, so that both must keep to as many as the route allows.
     pub fn spend_extra(&mut self) -> bool {
-        let searchers = self.service.searchers().len();
-        let allowed = searchers <= self.plan.route.max_attempts as usize;
-        self.extra = allowed && self.spend(now());
+        let restricted = (1..=self.plan.route.max_attempts as usize).contains(&self.allowed.len());
+        self.extra = restricted && self.spend(now());
         self.extra
     }
 
@@ -258,7 +266,8 @@
             false => Reach::All,
         };
         let share = self.share();
-        self.service.choose(&self.plan.route, prior, &self.tried, reach, share, present)
+        let among = Among { allowed: &self.allowed, tried: &self.tried, reach };
+        self.service.choose(&self.plan.route, prior, among, share, present)
     }
 
     fn share(&self) -> ConnectionShare {
--- a/crates/edge/src/searchers/fleet.rs
+++ b/crates/edge/src/searchers/fleet.rs
@@ -39,8 +39,28 @@
     OwnZone,
 }
 
+/// The searchers that a choice is made among.
+#[derive(Debug, Clone, Copy)]
+pub struct Among<'a> {
+    /// Searchers that may be asked; none stands for all that are listed.
+    pub allowed: &'a [SearcherId],
+    /// Searchers that were asked already.
+    pub tried: &'a [SearcherId],
+    /// Which can be asked.
+    pub reach: Reach,
+}
+
+impl Among<'_> {
+    fn has(&self, searcher: &Searcher) -> bool {
+        let id = &searcher.entry.id;
+        let allowed = self.allowed.is_empty() || self.allowed.contains(id);
+        let reached = self.reach == Reach::All || searcher.local;
+        allowed && reached && !self.tried.contains(id)
+    }
+}
+
 /// What a choice found.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub enum Choice {
     /// The searcher that is expected to answer first.
     Searcher(Arc<Searcher>),
@@ -75,13 +95,12 @@
         lock(&self.searchers).iter().any(|searcher| searcher.local && searcher.is_usable())
     }
 
-    /// Chooses a searcher that is not in `tried`.
+    /// Chooses one searcher.
     pub fn choose(
         &self,
         route: &Route,
         prior: f64,
-        tried: &[SearcherId],
-        reach: Reach,
+        among: Among<'_>,
         share: ConnectionShare,
         now: Instant,
     ) -> Choice {
@@ -89,10 +108,7 @@
         let mut best: Option<(f64, &Arc<Searcher>)> = None;
         let mut full = false;
         for searcher in searchers.iter() {
-            if !searcher.is_usable() || tried.contains(&searcher.entry.id) {
-                continue;
-            }
-            if reach == Reach::OwnZone && !searcher.local {
+            if !searcher.is_usable() || !among.has(searcher) {
                 continue;
             }
             if !searcher.has_room(share.limit(searcher.local)) {
--- a/crates/edge/src/searchers/mod.rs
+++ b/crates/edge/src/searchers/mod.rs
@@ -3,7 +3,10 @@
 mod fleet;
 mod lease;
 mod searcher;
+#[cfg(test)]
+mod tests;
 
+pub use fleet::Among;
 pub use fleet::Choice;
 pub use fleet::Fleet;
 pub use fleet::Reach;
--- a/crates/policy/src/routing/estimate.rs
+++ b/crates/policy/src/routing/estimate.rs
@@ -57,6 +57,10 @@
     }
 }
 
+/// Age at which latencies say nothing any more: a searcher pauses for a tenth of a second, and one
+/// that was slow for longer may have recovered.
+const FORGOTTEN: Duration = Duration::from_secs(3);
+
 /// The last latencies of one route at one searcher.
 #[derive(Debug, Clone, Copy)]
 pub struct RecentLatencies {
@@ -76,6 +80,10 @@
 
     /// Adds one latency.
     pub fn record(&mut self, latency: Duration, now: Instant) {
+        if self.is_forgotten(now) {
+            self.count = 0;
+            self.next = 0;
+        }
         self.latest[self.next] = latency.as_secs_f32();
         self.next = (self.next + 1) % RECENT;
         self.count = (self.count + 1).min(RECENT);
@@ -90,8 +98,8 @@
         known.get((self.count.saturating_sub(1)) / 2).copied().map_or(0.0, f64::from)
     }
 
-    /// Returns how old the newest latency is.
-    pub fn age(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.seen)
+    /// Returns whether the newest latency is so old that it says nothing any more.
+    pub fn is_forgotten(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.seen) >= FORGOTTEN
     }
 }
--- a/crates/policy/src/routing/health.rs
+++ b/crates/policy/src/routing/health.rs
@@ -7,9 +7,6 @@
 use crate::ids::RouteName;
 use crate::routing::RecentLatencies;
 
-/// Time in which half of a slow searcher's latency is forgotten, so that it is tried again.
-const HALF_LIFE: Duration = Duration::from_secs(6);
-
 /// How many times its expected latency an attempt may take before its searcher is taken to pause.
 const PAUSE_FACTOR: f64 = 2.5;
 
@@ -208,12 +205,11 @@
         let Some(estimate) = self.latencies.get(view.route) else {
             return prior;
         };
-        let typical = estimate.typical();
-        if typical <= prior {
-            return typical;
+        // One that was slow is tried again when that is forgotten; a hedge covers the trial.
+        match estimate.is_forgotten(now) {
+            true => estimate.typical().min(prior),
+            false => estimate.typical(),
         }
-        let age = estimate.age(now).as_secs_f64();
-        prior + 0.5_f64.powf(age / HALF_LIFE.as_secs_f64()) * (typical - prior)
     }
 }
 
--- a/crates/policy/src/routing/tests.rs
+++ b/crates/policy/src/routing/tests.rs
@@ -164,3 +164,27 @@
         assert_eq!(spent, 5);
     }
 }
+
+#[test]
+fn a_searcher_that_was_slow_is_tried_after_seconds_and_one_fast_answer_brings_it_back() {
+    let start = Instant::now();
+    let ms = Duration::from_millis;
+    let route = "sweep".into();
+    let at_home =
+        ReplicaView { route: &route, prior: 0.008, objective: ms(80), local: true, slots: 2 };
+    let away = ReplicaView { local: false, ..at_home };
+    let mut slow = SearcherHealth::default();
+    let mut other = SearcherHealth::default();
+    (0..5).for_each(|_| slow.note_answer(&route, ms(100), start));
+    other.note_answer(&route, ms(8), start);
+    let chosen = |slow: &SearcherHealth, at| slow.cost(&at_home, at) < other.cost(&away, at);
+    assert!(!chosen(&slow, start + ms(2_000)));
+    let trial = start + ms(3_100);
+    assert!(chosen(&slow, trial));
+    slow.note_answer(&route, ms(9), trial);
+    assert!(chosen(&slow, trial + ms(100)));
+    let mut still_slow = SearcherHealth::default();
+    still_slow.note_answer(&route, ms(100), start);
+    still_slow.note_answer(&route, ms(100), trial);
+    assert!(!chosen(&still_slow, trial + ms(100)));
+}
