--- a/bin/galenaloft-edge/tests/edge/changes.rs
+++ b/bin/galenaloft-edge/tests/edge/changes.rs
@@ -12,6 +12,7 @@
 use galenaloft_platform_standin::scene::shard_name;
 use galenaloft_platform_standin::searcher::Searcher;
 use galenaloft_platform_standin::store::StoreFault;
+use galenaloft_soak::edge::Signal;
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -137,7 +138,7 @@
     let began = Instant::now();
     busy.send(&call("GET", FETCH_PATH, &request_id(), b"")).await.unwrap();
     sleep(100 * MS).await;
-    edge.signal("TERM");
+    edge.signal(Signal::SIGTERM);
     eventually("the host is not ready", || async { !edge.is_ready().await }).await;
     assert_eq!(busy.read(began).await.unwrap().status, 200);
     let answer = idle.call(&call("GET", GATHER_PATH, &request_id(), b"")).await.unwrap();
@@ -190,7 +191,7 @@
         all.filter(|searcher| searcher.spec.zone == zone).map(Searcher::runs).sum()
     };
     assert!(in_zone("a") > in_zone("b") * 3, "{} {}", in_zone("a"), in_zone("b"));
-    peer.signal("STOP");
+    peer.signal(Signal::SIGSTOP);
     let mut whole = 0;
     for _ in 0..10 {
         let answer = edge.get(GATHER_PATH).await;
@@ -199,7 +200,7 @@
         assert!(answer.took < 150 * MS, "{:?}", answer.took);
         whole += usize::from(answer.missing() == 0);
     }
-    peer.signal("CONT");
+    peer.signal(Signal::SIGCONT);
     assert!(whole >= 8, "{whole}");
 }
 
--- a/tools/soak/src/edge.rs
+++ b/tools/soak/src/edge.rs
@@ -15,7 +15,7 @@
 use std::time::Instant;
 
 use galenaloft_platform_standin::caller::Caller;
-use nix::sys::signal::Signal;
+pub use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
 
