Entries that lapse in a short failure of the store stay in use on every host

Cause: a removal counted as a lapse only after 1.7 s without an answer of the store, and only on the host that read it; after a shorter failure every searcher was dropped until it was listed again. Mend: any failed read makes removals lapses until 2.3 s after the next answer; news tell when the store returned. Signal handlers are installed before the ports are bound.

--- a/bin/galenaloft-edge/tests/edge/changes.rs
+++ b/bin/galenaloft-edge/tests/edge/changes.rs
@@ -273,3 +273,27 @@
         assert_eq!(host.get(FETCH_PATH).await.status, 200);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_short_failure_of_the_store_in_which_every_entry_lapses_costs_no_request() {
+    let scene = scene().await;
+    let hosts = [
+        Edge::ready(&scene, "a", 1, 28310).await,
+        Edge::ready(&scene, "a", 2, 28310).await,
+        Edge::ready(&scene, "b", 3, 28310).await,
+    ];
+    sleep(1_000 * MS).await;
+    scene.store.set_fault(StoreFault::Refuse(503));
+    scene.singles.iter().for_each(Searcher::deregister);
+    sleep(1_200 * MS).await;
+    scene.store.set_fault(StoreFault::None);
+    for round in 0..20 {
+        if round == 10 {
+            scene.singles.iter().for_each(Searcher::register_again);
+        }
+        for host in &hosts {
+            assert_eq!(host.get(FETCH_PATH).await.status, 200, "round {round}");
+        }
+        sleep(150 * MS).await;
+    }
+}
--- a/crates/edge/src/peers/members.rs
+++ b/crates/edge/src/peers/members.rs
@@ -229,7 +229,7 @@
         *outbox = Some(match outbox.take() {
             Some(mut earlier) if earlier.revision == news.after => {
                 earlier.changes.extend(news.changes);
-                StoreNews { revision: news.revision, ..earlier }
+                StoreNews { changes: earlier.changes, after: earlier.after, ..news }
             }
             _ => news,
         });
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -51,6 +51,8 @@
     pub revision: StoreRevision,
     /// Changes of searchers other than heartbeats.
     pub changes: Vec<Revised>,
+    /// How long ago the store returned, while entries may be missing only because it was away.
+    pub returned_ago: Option<Duration>,
 }
 
 /// Everything that a host knows of the store.
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -48,6 +48,10 @@
 
 /// Serves until a signal asks for a stop.
 pub async fn serve(settings: EdgeSettings, file: PathBuf) -> Result<(), ServeError> {
+    // A SIGHUP that comes before its handler would end the process.
+    let mut terminate = signal(SignalKind::terminate()).map_err(ServeError::Signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(ServeError::Signals)?;
+    let mut reload = signal(SignalKind::hangup()).map_err(ServeError::Signals)?;
     let callers = bind(settings.listen.callers).await?;
     let ready = bind(settings.listen.readiness).await?;
     let metrics = bind(settings.listen.metrics).await?;
@@ -55,9 +59,6 @@
     let datagrams = UdpSocket::bind(settings.listen.peers)
         .await
         .map_err(|e| ServeError::Listen(settings.listen.peers, e))?;
-    let mut terminate = signal(SignalKind::terminate()).map_err(ServeError::Signals)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(ServeError::Signals)?;
-    let mut reload = signal(SignalKind::hangup()).map_err(ServeError::Signals)?;
     Event::new("started").with("host", &settings.host).with("zone", &settings.zone).info();
     let grace = settings.grace;
     let incarnation = rand::random::<u32>();
--- a/crates/edge/src/store/reader.rs
+++ b/crates/edge/src/store/reader.rs
@@ -112,7 +112,9 @@
         self.adopt_configuration(update.configuration);
         let changes = self.apply(update.searchers, now());
         self.revision = self.revision.max(update.revision);
-        self.host.peers.publish(StoreNews { after, revision: self.revision, changes });
+        let returned_ago = self.directory.returned_ago(now());
+        let news = StoreNews { after, revision: self.revision, changes, returned_ago };
+        self.host.peers.publish(news);
         Ok(())
     }
 
@@ -134,9 +136,7 @@
 
     async fn note_failure(&mut self, e: &StoreError, now: Instant) {
         self.freshness.note_failed(now);
-        if self.freshness.is_stale(now) {
-            self.directory.note_store_failure(now);
-        }
+        self.directory.note_store_failure(now);
         if !std::mem::replace(&mut self.away, true) {
             Event::new("store_away").with("why", e).warn();
         }
@@ -170,6 +170,9 @@
             return;
         }
         let present = now();
+        if let Some(at) = news.returned_ago.and_then(|ago| present.checked_sub(ago)) {
+            self.directory.note_return_elsewhere(at);
+        }
         let changes = self.apply(news.changes, present);
         // Changes before those that were told are read with the next read.
         if news.after <= self.revision {
--- a/crates/policy/src/directory/listing.rs
+++ b/crates/policy/src/directory/listing.rs
@@ -85,6 +85,18 @@
         }
     }
 
+    /// Returns how long ago the store returned, while entries may be missing only because it was away.
+    pub fn returned_ago(&self, now: Instant) -> Option<Duration> {
+        let returned = self.store_returned.unwrap_or(now);
+        self.may_have_lapsed(now).then(|| now.saturating_duration_since(returned))
+    }
+
+    /// Notes that another host saw the store return at `at`. This host may not have asked meanwhile.
+    pub fn note_return_elsewhere(&mut self, at: Instant) {
+        self.store_failed.get_or_insert(at);
+        self.store_returned = Some(self.store_returned.map_or(at, |known| known.max(at)));
+    }
+
     /// Applies one change unless a later one of the same searcher is known.
     pub fn apply(&mut self, revised: Revised, now: Instant) -> Applied {
         let Revised { change, revision } = revised;
--- a/crates/policy/src/directory/tests.rs
+++ b/crates/policy/src/directory/tests.rs
@@ -96,3 +96,24 @@
     assert_eq!(directory.apply(written("a", SearcherState::Ready, 4), now), Applied::Returned);
     assert_eq!(directory.apply(written("a", SearcherState::Ready, 5), now), Applied::Nothing);
 }
+
+#[test]
+fn a_return_that_another_host_saw_keeps_lapsed_entries_for_the_rest_of_their_time() {
+    let now = Instant::now();
+    let ms = Duration::from_millis;
+    let mut reader = Directory::default();
+    let mut listener = Directory::default();
+    for directory in [&mut reader, &mut listener] {
+        directory.apply(written("a", SearcherState::Ready, 1), now);
+    }
+    reader.note_store_failure(now);
+    reader.note_store_answer(now + ms(500));
+    let heard = now + ms(900);
+    let ago = reader.returned_ago(heard);
+    assert_eq!(ago, Some(ms(400)));
+    listener.note_return_elsewhere(heard - ms(400));
+    assert_eq!(listener.apply(removed("a", 2), heard), Applied::Lapsed);
+    assert!(!listener.expire(now + ms(2_700)));
+    assert!(listener.expire(now + ms(2_900)));
+    assert_eq!(reader.returned_ago(now + ms(2_900)), None);
+}
--- a/crates/policy/src/freshness.rs
+++ b/crates/policy/src/freshness.rs
@@ -54,11 +54,6 @@
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.fresh.map(|fresh| now.saturating_duration_since(fresh))
     }
-
-    /// Returns whether nothing was heard of the store for so long that it counts as away.
-    pub fn is_stale(&self, now: Instant) -> bool {
-        self.age(now).is_none_or(|age| age > INTERVAL + MAX_STAGGER + RETRY)
-    }
 }
 
 #[cfg(test)]
