--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -90,9 +90,7 @@
     /// Objective of the route.
     pub target_latency: Duration,
     /// The shards.
-    pub shards: Vec<ServiceId>,
-    /// For each shard the searchers that may be asked; none stands for all that are listed.
-    pub allowed: Vec<Vec<SearcherId>>,
+    pub shards: Vec<GroupShard>,
     /// Fewest parts that the whole query needs of them.
     pub min_parts: usize,
     /// Most records that are wanted.
@@ -103,6 +101,15 @@
     pub time_left: Duration,
 }
 
+/// One shard of a group.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct GroupShard {
+    /// The shard's service.
+    pub service: ServiceId,
+    /// Searchers that may be asked; none stands for all that are listed.
+    pub allowed: Vec<SearcherId>,
+}
+
 /// The parts of a group of shards, merged.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct GroupReply {
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -13,6 +13,7 @@
 pub use members::capacity;
 pub use messages::GroupQuery;
 pub use messages::GroupReply;
+pub use messages::GroupShard;
 pub use messages::Knowledge;
 pub use messages::StoreNews;
 pub use relay::Relay;
--- a/crates/edge/src/query/gather.rs
+++ b/crates/edge/src/query/gather.rs
@@ -86,8 +86,14 @@
 }
 
 impl<'a> Gathering<'a> {
-    /// Prepares a query; nothing is sent yet.
-    pub fn new(host: &'a Arc<Host>, plan: &'a Arc<Plan>, gather: &'a Gather) -> Self {
+    /// Prepares a query; nothing is sent yet. `allowed` has for each shard the searchers that may be
+    /// asked, where none stands for all that are listed.
+    pub fn new(
+        host: &'a Arc<Host>,
+        plan: &'a Arc<Plan>,
+        gather: &'a Gather,
+        allowed: Vec<Vec<SearcherId>>,
+    ) -> Self {
         Self {
             host,
             plan,
@@ -100,18 +106,11 @@
             through_peers: vec![false; gather.shards.len()],
             waiting: Vec::new(),
             left_out: Vec::new(),
-            allowed: vec![Vec::new(); gather.shards.len()],
+            allowed,
             may_have_run: false,
         }
     }
 
-    /// Restricts the searchers that may be asked, as a peer wants it.
-    pub fn allow_only(&mut self, allowed: Vec<Vec<SearcherId>>) {
-        if allowed.len() == self.allowed.len() {
-            self.allowed = allowed;
-        }
-    }
-
     /// Asks one searcher of each shard directly, except for shards that would not answer in time
     /// and that the floor can do without.
     pub fn ask_directly(&mut self, min_parts: usize, objective: Instant) {
@@ -129,20 +128,24 @@
         let asked = self.ask_shards(&direct, needed, objective, present);
         // What the direct shards leave of the share that may be missing is left to the groups.
         let needed = min_parts.saturating_sub(asked);
-        // A shard with no more searchers than attempts may be asked through a peer and again
-        // directly, if both keep to the searchers that are listed now.
-        for index in through_peers.iter().copied() {
-            let listed = self.host.fleet.service(&self.gather.shards[index]).searchers();
-            if listed.len() <= self.plan.route.max_attempts as usize {
-                self.allowed[index] = listed.iter().map(|s| s.entry.id.clone()).collect();
-            }
-        }
+        self.name_searchers(&through_peers);
         for group in groups {
             let others = through_peers.len() - group.shards.len();
             self.ask_group(group, needed.saturating_sub(others), objective, present);
         }
     }
 
+    /// Names the searchers of shards that have no more of them than attempts. Such a shard may be asked
+    /// through a peer and again directly, since both keep to the searchers that are named.
+    fn name_searchers(&mut self, shards: &[usize]) {
+        for index in shards {
+            let listed = self.host.fleet.service(&self.gather.shards[*index]).searchers();
+            if listed.len() <= self.plan.route.max_attempts as usize {
+                self.allowed[*index] = listed.iter().map(|s| s.entry.id.clone()).collect();
+            }
+        }
+    }
+
     /// Asks some shards directly. Returns how many.
     fn ask_shards(
         &mut self,
@@ -380,7 +383,8 @@
     }
     let groups = group::plan(host, plan, gather, now());
     let patience = patience(host, plan, gather, &groups);
-    let mut gathering = Gathering::new(host, plan, gather);
+    let all_listed = vec![Vec::new(); gather.shards.len()];
+    let mut gathering = Gathering::new(host, plan, gather, all_listed);
     gathering.ask_by_zone(groups, min_parts, patience.objective());
     let expired = gathering.collect(&patience, min_parts).await;
     let parts = gathering.parts();
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -22,6 +22,7 @@
 use crate::host::Host;
 use crate::peers::GroupQuery;
 use crate::peers::GroupReply;
+use crate::peers::GroupShard;
 use crate::peers::Relay;
 use crate::query::Plan;
 use crate::query::gather::Gathering;
@@ -146,6 +147,10 @@
         let header = |(name, value): (&hyper::header::HeaderName, &hyper::header::HeaderValue)| {
             (name.as_str().to_owned(), value.as_bytes().to_vec())
         };
+        let shard = |index: usize| GroupShard {
+            service: gather.shards[index].clone(),
+            allowed: allowed[index].clone(),
+        };
         GroupQuery {
             request_id: call.id.clone(),
             method: call.method.as_str().to_owned(),
@@ -156,8 +161,7 @@
             rank: plan.route.rank,
             max_attempts: plan.route.max_attempts,
             target_latency: plan.route.target_latency,
-            shards: self.shards.iter().map(|index| gather.shards[*index].clone()).collect(),
-            allowed: self.shards.iter().map(|index| allowed[*index].clone()).collect(),
+            shards: self.shards.iter().map(|index| shard(*index)).collect(),
             min_parts,
             top_records: gather.top_records,
             answer_within: answer_within(objective.saturating_duration_since(now)),
@@ -181,7 +185,8 @@
         &query.headers,
         query.body,
     )?;
-    let gather = Gather { shards: query.shards, top_records: query.top_records, min_coverage: 0.0 };
+    let (shards, allowed) = query.shards.into_iter().map(|s| (s.service, s.allowed)).unzip();
+    let gather = Gather { shards, top_records: query.top_records, min_coverage: 0.0 };
     let route = Route {
         name: query.route,
         host: call.host.clone(),
@@ -196,8 +201,7 @@
     let plan = Arc::new(Plan::new(call, Arc::new(route), host.config()?, arrived));
     let writing = answer_time(host.capacity(), gather.shards.len(), 0);
     let patience = Patience::new(arrived, query.answer_within, writing, plan.deadline);
-    let mut gathering = Gathering::new(host, &plan, &gather);
-    gathering.allow_only(query.allowed);
+    let mut gathering = Gathering::new(host, &plan, &gather, allowed);
     gathering.ask_directly(query.min_parts, patience.objective());
     // What is there in time is of use to the peer, which has other shards besides. With less than
     // half of them its floor is out of reach, and the rest is worth the wait.
