--- a/bin/galenaloft-edge/tests/edge/changes.rs
+++ b/bin/galenaloft-edge/tests/edge/changes.rs
@@ -27,6 +27,15 @@
     Scene::start(&Layout::default()).await.unwrap()
 }
 
+/// Starts two hosts of zone `a` and one of zone `b` that know each other.
+async fn three_hosts(scene: &Scene, port: u16) -> [Edge; 3] {
+    [
+        Edge::ready(scene, "a", 1, port).await,
+        Edge::ready(scene, "a", 2, port).await,
+        Edge::ready(scene, "b", 3, port).await,
+    ]
+}
+
 /// A layout whose shards have searchers in zones `a` and `b`, and none in `c`.
 fn two_zones() -> Layout {
     Layout { zones: vec!["a".to_owned(), "b".to_owned()], ..Layout::default() }
@@ -232,11 +241,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn every_host_forgets_a_searcher_that_left_while_the_store_was_away() {
     let scene = scene().await;
-    let hosts = [
-        Edge::ready(&scene, "a", 1, 28290).await,
-        Edge::ready(&scene, "a", 2, 28290).await,
-        Edge::ready(&scene, "b", 3, 28290).await,
-    ];
+    let hosts = three_hosts(&scene, 28290).await;
     scene.store.set_fault(StoreFault::Refuse(503));
     sleep(2_500 * MS).await;
     scene.singles[0].deregister();
@@ -256,11 +261,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn every_host_keeps_searchers_that_lapsed_with_the_store_and_are_back() {
     let scene = scene().await;
-    let hosts = [
-        Edge::ready(&scene, "a", 1, 28300).await,
-        Edge::ready(&scene, "a", 2, 28300).await,
-        Edge::ready(&scene, "b", 3, 28300).await,
-    ];
+    let hosts = three_hosts(&scene, 28300).await;
     scene.store.set_fault(StoreFault::Refuse(503));
     sleep(2_500 * MS).await;
     scene.singles.iter().for_each(Searcher::deregister);
@@ -277,11 +278,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_short_failure_of_the_store_in_which_every_entry_lapses_costs_no_request() {
     let scene = scene().await;
-    let hosts = [
-        Edge::ready(&scene, "a", 1, 28310).await,
-        Edge::ready(&scene, "a", 2, 28310).await,
-        Edge::ready(&scene, "b", 3, 28310).await,
-    ];
+    let hosts = three_hosts(&scene, 28310).await;
     sleep(1_000 * MS).await;
     scene.store.set_fault(StoreFault::Refuse(503));
     scene.singles.iter().for_each(Searcher::deregister);
--- a/tools/soak/src/check.rs
+++ b/tools/soak/src/check.rs
@@ -124,7 +124,7 @@
         let mut filed: BTreeSet<&str> = BTreeSet::new();
         let mut broken = Vec::new();
         for Reached { service, searcher, arrival } in &self.reached {
-            let id = arrival.headers.get("request-id").map_or("", String::as_str);
+            let id = id_of(arrival);
             let Some(seen) = self.requests.get(id) else {
                 broken.push(("only what was asked", format!("request {id} was never sent")));
                 continue;
@@ -181,7 +181,7 @@
         let mut searchers: BTreeMap<(&str, &str), BTreeSet<&str>> = BTreeMap::new();
         for Reached { service, searcher, arrival } in self.reached.iter().filter(|r| r.arrival.ran)
         {
-            let id = arrival.headers.get("request-id").map_or("", String::as_str);
+            let id = id_of(arrival);
             searchers.entry((id, service)).or_default().insert(searcher);
         }
         let over = searchers.iter().filter(|(_, ran)| ran.len() > MAX_ATTEMPTS);
@@ -199,7 +199,7 @@
         order.sort_by_key(|reached| reached.arrival.at);
         let mut known: BTreeSet<(&str, &str)> = BTreeSet::new();
         for Reached { service, arrival, .. } in order {
-            let id = arrival.headers.get("request-id").map_or("", String::as_str);
+            let id = id_of(arrival);
             let extra = !known.insert((id, service));
             services.entry(service).or_default().push((arrival.at, extra));
         }
@@ -336,6 +336,11 @@
     }
 }
 
+/// Returns the id of the request that arrived, empty if it has none.
+fn id_of(arrival: &Arrival) -> &str {
+    arrival.headers.get("request-id").map_or("", String::as_str)
+}
+
 /// Returns how a request ended, in short.
 fn status(seen: &Seen) -> String {
     match &seen.end {
