Serve requests that cross the begin of a planned stop

Cause: the server raced the stop against the connection in random order, and hyper's graceful shutdown closes a connection on which nothing was read yet. A connection that was just accepted, or was still in the listen queue, lost its first request; an idle one lost a request that was under way. Change: queued connections are accepted; one without a request stays open for 500 ms, an idle one for 100 ms; answers after the begin of the stop ask the client to close. Before: crates/http/tests/planned_stop.rs, 3 of 5 fail. After: 5 of 5 pass.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,23 +3,27 @@
 use std::convert::Infallible;
 use std::io;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Body;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -36,6 +40,14 @@
 /// Pause after a failed accept, so that a lack of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long a connection without any request yet stays open after a planned stop began, so that a
+/// client that has just connected gets its first request answered.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
+
+/// How long an idle connection stays open after a planned stop began. A request that was sent
+/// before that is read and answered.
+const NEXT_REQUEST_WAIT: Duration = Duration::from_millis(100);
+
 /// Bounds on what clients may take up.
 #[derive(Debug, Clone)]
 pub struct Limits {
@@ -90,40 +102,42 @@
     }
 
     /// Accepts connections until `stop` turns true, then waits until running requests have ended.
-    pub async fn serve<H, F>(self, handler: H, mut stop: watch::Receiver<bool>)
+    /// Connections that are in the listen queue by then are accepted and served.
+    pub async fn serve<H, F>(self, handler: H, stop: watch::Receiver<bool>)
     where
         H: Fn(Request<Bytes>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Reply> + Send + 'static,
     {
         let connections = self.limits.borrow().connections;
         let permits = Arc::new(Semaphore::new(connections));
-        loop {
-            let accepted = tokio::select! {
-                accepted = self.listener.accept() => accepted,
-                _ = stop.wait_for(|stopping| *stopping) => break,
-            };
-            let stream = match accepted {
-                Ok((stream, _)) => stream,
-                Err(_) => {
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                    continue;
-                }
-            };
+        let spawn = |stream: TcpStream| {
             let Ok(permit) = permits.clone().try_acquire_owned() else {
-                continue;
+                return;
             };
-            let connection = serve_connection(
-                stream,
-                self.limits.borrow().clone(),
-                self.refuse,
-                handler.clone(),
-                stop.clone(),
-            );
+            let limits = self.limits.borrow().clone();
+            let connection =
+                serve_connection(stream, limits, self.refuse, handler.clone(), stop.clone());
             tokio::spawn(async move {
                 // A broken connection concerns its client only.
                 let _ = connection.await;
                 drop(permit);
             });
+        };
+        let mut stopping = stop.clone();
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                _ = stopping.wait_for(|stopping| *stopping) => break,
+            };
+            match accepted {
+                Ok((stream, _)) => spawn(stream),
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            }
+        }
+        // Lets the event loop see connections that arrived since its last turn.
+        tokio::task::yield_now().await;
+        while let Some(Ok((stream, _))) = self.listener.accept().now_or_never() {
+            spawn(stream);
         }
         drop(self.listener);
         let all = u32::try_from(connections).unwrap_or(u32::MAX);
@@ -145,16 +159,23 @@
 {
     stream.set_nodelay(true)?;
     let (body_limit, read_timeout) = (limits.body, limits.read_timeout);
-    let first = AtomicBool::new(true);
+    let requests = Arc::new(Requests::default());
+    let counted = requests.clone();
+    let stopping = stop.clone();
     let service = service_fn(move |mut req: Request<Incoming>| {
         let handler = handler.clone();
-        let first_on_connection = first.swap(false, Ordering::Relaxed);
+        let first_on_connection = counted.record_started() == 1;
         req.extensions_mut().insert(Arrival { first_on_connection });
+        let (counted, stopping) = (counted.clone(), stopping.clone());
         async move {
-            let reply = match read_body(req, body_limit, read_timeout).await {
+            let mut reply = match read_body(req, body_limit, read_timeout).await {
                 Ok(req) => handler(req).await,
                 Err((status, why)) => refuse(status, &why),
             };
+            if *stopping.borrow() {
+                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            counted.record_ended();
             Ok::<Reply, Infallible>(reply)
         }
     });
@@ -166,14 +187,60 @@
         .max_buf_size(limits.head.max(MIN_HEAD))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let next_request = async {
+        // The sender is dropped only when the process ends, which counts as a stop too.
+        let _ = stop.wait_for(|stopping| *stopping).await;
+        requests.wait_for_next().await;
+    };
     tokio::select! {
+        biased;
         result = &mut connection => return result.map_err(io::Error::other),
-        _ = stop.wait_for(|stopping| *stopping) => {}
+        () = next_request => {}
     }
+    // The answer to a request in progress asks the client to close the connection.
     connection.as_mut().graceful_shutdown();
     connection.await.map_err(io::Error::other)
 }
 
+/// Requests that were read on one connection.
+#[derive(Debug, Default)]
+struct Requests {
+    started: AtomicU64,
+    ended: AtomicU64,
+    /// Signalled when a request was read.
+    request_read: Notify,
+}
+
+impl Requests {
+    /// Counts a request that was read, and returns their number.
+    fn record_started(&self) -> u64 {
+        self.request_read.notify_one();
+        self.started.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Counts a request that was answered.
+    fn record_ended(&self) {
+        self.ended.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns at once while a request is in progress; otherwise waits for the next one, for as
+    /// long as one may be under way.
+    async fn wait_for_next(&self) {
+        let started = self.started.load(Ordering::Relaxed);
+        if started > self.ended.load(Ordering::Relaxed) {
+            return;
+        }
+        let limit = if started == 0 { FIRST_REQUEST_WAIT } else { NEXT_REQUEST_WAIT };
+        let next_read = async {
+            while self.started.load(Ordering::Relaxed) == started {
+                self.request_read.notified().await;
+            }
+        };
+        // Without a further request the connection is idle, and is closed.
+        let _ = timeout(limit, next_read).await;
+    }
+}
+
 async fn read_body(
     req: Request<Incoming>,
     limit: usize,
