--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use galenaloft_policy::ids::ZoneId;
 use galenaloft_policy::membership::HostFact;
 use galenaloft_policy::membership::HostState;
 use galenaloft_runtime::clock::now;
@@ -73,62 +74,81 @@
     datagram: Datagram,
     sender: SocketAddr,
 ) {
-    host.peers.apply_facts(datagram.facts, now());
+    let zone = datagram.facts.first().map(|fact| fact.zone.clone());
+    host.peers.apply_facts(datagram.facts, datagram.zone_hosts, now());
     check_cut_off(host);
     if datagram.config > host.config_version() {
+        let notice = PeerNotice::NewerConfig {
+            version: datagram.config,
+            peer: sender,
+            in_own_zone: zone.as_ref() == Some(&host.settings.zone),
+        };
         // The receiver is never dropped: its task runs as long as the process.
-        let _ = notices.send(PeerNotice::NewerConfig(datagram.config));
+        let _ = notices.send(notice);
     }
     match datagram.purpose {
         Purpose::Probe { wants_all } => {
-            let facts = match wants_all {
-                true => lock(&host.peers.table).all_facts(),
-                false => lock(&host.peers.table).gossip(),
+            let facts = match &zone {
+                Some(zone) if wants_all => host.peers.all_facts_for(zone),
+                zone => host.peers.gossip_for(zone.as_ref()),
             };
             for facts in facts.chunks(MAX_FACTS) {
                 send(host, socket, sender, facts.to_vec(), Purpose::Reply).await;
             }
         }
+        Purpose::Ping => {
+            send(host, socket, sender, host.peers.gossip_for(None), Purpose::Reply).await;
+        }
         Purpose::Reply => {}
         Purpose::StoreUpdate(update) => {
             let _ = notices.send(PeerNotice::StoreUpdate(update));
         }
         Purpose::Crash(crash) => {
-            host.record_crash(crash, now());
+            let is_new = host.record_crash(crash.clone(), now());
+            let from_other_zone = zone.as_ref() != Some(&host.settings.zone);
+            if is_new && from_other_zone && host.peers.zone_gossip().is_some() {
+                // In a large fleet only representatives are told of crashes that other zones saw.
+                host.peers.forward_crash(crash);
+            }
         }
     }
 }
 
-/// Probes the known hosts in turn, one in each round, the seeds that are not known as hosts every
-/// few rounds, and some hosts of other zones if those zones fell silent.
+/// Probes the known hosts in turn, one in each round, and the seeds that are not known as hosts every
+/// few rounds. Pings some hosts of other zones if those zones fell silent. In a large fleet, hosts of
+/// other zones are probed by the representatives of this zone only, in every other round.
 async fn probe_peers(host: Arc<Host>, socket: Arc<UdpSocket>) {
     let mut ticks = interval(PROBE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut last_probe: Option<(HostFact, Instant)> = None;
+    let mut last_probes: Vec<(HostFact, Instant)> = Vec::new();
     let mut round = 0_u32;
     loop {
         ticks.tick().await;
         log_changes(lock(&host.peers.table).expire(now()));
+        host.peers.update_zone_gossip();
         host.update_sharing_hosts(now());
         check_cut_off(&host);
-        if let Some((target, sent)) = last_probe.take() {
+        for (target, sent) in std::mem::take(&mut last_probes) {
             suspect_if_silent(&host, &socket, &target, sent).await;
         }
         if round.is_multiple_of(SEED_PROBE_ROUNDS) {
             for seed in host.peers.unknown_seeds() {
-                send_gossip(&host, &socket, seed, Purpose::Probe { wants_all: true }).await;
+                send_gossip(&host, &socket, seed, None, Purpose::Probe { wants_all: true }).await;
             }
         }
         round = round.wrapping_add(1);
-        for address in host.peers.silent_zone_probe_targets(now()) {
-            send_gossip(&host, &socket, address, Purpose::Probe { wants_all: false }).await;
+        for address in host.peers.silent_zone_targets(now()) {
+            send(&host, &socket, address, Vec::new(), Purpose::Ping).await;
         }
-        let target = lock(&host.peers.table).next_probe();
-        if let Some(target) = target {
+        let own_zone_target = host.peers.next_probe(false);
+        let probes_other_zones = round.is_multiple_of(2) && host.peers.zone_gossip().is_some();
+        let other_zone_target = probes_other_zones.then(|| host.peers.next_probe(true)).flatten();
+        for target in own_zone_target.into_iter().chain(other_zone_target) {
             // In its first rounds a host asks for everything, to learn the membership after its start.
             let wants_all = round <= SEED_PROBE_ROUNDS;
-            send_gossip(&host, &socket, target.address, Purpose::Probe { wants_all }).await;
-            last_probe = Some((target, now()));
+            let purpose = Purpose::Probe { wants_all };
+            send_gossip(&host, &socket, target.address, Some(&target.zone), purpose).await;
+            last_probes.push((target, now()));
         }
     }
 }
@@ -140,7 +160,8 @@
         return;
     }
     log_changes(lock(&host.peers.table).suspect(&target.host, now()));
-    send_gossip(host, socket, target.address, Purpose::Probe { wants_all: false }).await;
+    let purpose = Purpose::Probe { wants_all: false };
+    send_gossip(host, socket, target.address, Some(&target.zone), purpose).await;
 }
 
 /// Sends published store updates and crashes to the hosts that share them. Woken without either,
@@ -150,25 +171,42 @@
         host.peers.send_requested.notified().await;
         let update = host.peers.take_update();
         let crashes = host.peers.take_crashes();
-        let facts_only = update.is_none() && crashes.is_empty();
-        for receiver in host.peers.update_receivers() {
+        let forwarded = host.peers.take_forwarded_crashes();
+        let facts_only = update.is_none() && crashes.is_empty() && forwarded.is_empty();
+        for (receiver, zone) in host.peers.update_receivers() {
+            let zone = Some(&zone);
             if let Some(update) = &update {
-                send_gossip(&host, &socket, receiver, Purpose::StoreUpdate(update.clone())).await;
+                let purpose = Purpose::StoreUpdate(update.clone());
+                send_gossip(&host, &socket, receiver, zone, purpose).await;
+            }
+            for crash in crashes.iter().chain(&forwarded) {
+                send_gossip(&host, &socket, receiver, zone, Purpose::Crash(crash.clone())).await;
+            }
+            if facts_only {
+                send_gossip(&host, &socket, receiver, zone, Purpose::Reply).await;
             }
+        }
+        for receiver in host.peers.other_representatives() {
             for crash in &crashes {
-                send_gossip(&host, &socket, receiver, Purpose::Crash(crash.clone())).await;
+                send_gossip(&host, &socket, receiver, None, Purpose::Crash(crash.clone())).await;
             }
             if facts_only {
-                send_gossip(&host, &socket, receiver, Purpose::Reply).await;
+                send_gossip(&host, &socket, receiver, None, Purpose::Reply).await;
             }
         }
     }
 }
 
-/// Sends a datagram with the facts that are to be passed on next.
-async fn send_gossip(host: &Host, socket: &UdpSocket, to: SocketAddr, purpose: Purpose) {
-    let facts = lock(&host.peers.table).gossip();
-    send(host, socket, to, facts, purpose).await;
+/// Sends a datagram with the facts that are to be passed on next to a host of that zone, where `None`
+/// is an unknown one.
+async fn send_gossip(
+    host: &Host,
+    socket: &UdpSocket,
+    to: SocketAddr,
+    zone: Option<&ZoneId>,
+    purpose: Purpose,
+) {
+    send(host, socket, to, host.peers.gossip_for(zone), purpose).await;
 }
 
 /// Sends a datagram with the given facts; a failure is only logged.
@@ -179,7 +217,8 @@
     facts: Vec<HostFact>,
     purpose: Purpose,
 ) {
-    let datagram = Datagram { facts, config: host.config_version(), purpose };
+    let zone_hosts = host.peers.own_zone_hosts();
+    let datagram = Datagram { facts, zone_hosts, config: host.config_version(), purpose };
     let result = match bincode::serialize(&datagram) {
         Ok(bytes) if bytes.len() > MAX_DATAGRAM_BYTES => {
             Err(io::Error::other("datagram is too large"))
--- a/crates/edge/src/peers/members.rs
+++ b/crates/edge/src/peers/members.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
@@ -14,11 +15,14 @@
 use galenaloft_policy::membership::FULL_CORE_CAPACITY;
 use galenaloft_policy::membership::HostFact;
 use galenaloft_policy::membership::HostState;
+use galenaloft_policy::membership::MAX_HOSTS_WITHOUT_ZONES;
 use galenaloft_policy::membership::MemberTable;
+use galenaloft_policy::membership::ZoneGossip;
 use galenaloft_policy::quarantine::Crash;
 use galenaloft_policy::routing::SharingHosts;
 use galenaloft_runtime::membership::log_changes;
 use galenaloft_runtime::sync::lock;
+use rand::seq::SliceRandom;
 
 use crate::peers::StoreUpdate;
 
@@ -31,16 +35,14 @@
 /// after the same time.
 const HOST_TTL: Duration = Duration::from_secs(20);
 
-/// Most hosts of a fleet that shares store updates across availability zones. In a larger fleet
-/// each zone reads the store for itself, so that the messages of one host do not grow with the
-/// fleet.
-const MAX_HOSTS_SHARING_ACROSS_ZONES: usize = 16;
-
 /// Silence of all other zones after which some of their hosts are probed, well before the zone counts
 /// as cut off.
 const ZONE_SILENCE: Duration = Duration::from_millis(150);
 
-/// Hosts of other zones that are probed in each round during such a silence.
+/// Silence after which at least one ping of an earlier round was left unanswered.
+const UNANSWERED_PING: Duration = Duration::from_millis(350);
+
+/// Most hosts of other zones that are pinged in each round during such a silence.
 const CROSS_ZONE_PROBES: usize = 4;
 
 /// A host that queries searchers on behalf of other hosts of its zone.
@@ -61,12 +63,18 @@
     pub table: Mutex<MemberTable>,
     /// When a datagram of each host last arrived.
     last_heard: Mutex<BTreeMap<HostId, Instant>>,
+    /// How gossip is divided by zones in a large fleet, as of the last probe round.
+    zone_gossip: Mutex<Option<Arc<ZoneGossip>>>,
+    /// Number of hosts of each other zone, and when a host of that zone last told it.
+    zone_sizes: Mutex<BTreeMap<ZoneId, (u32, Instant)>>,
     /// Configured peer addresses; each is probed until a host is known at it.
     seeds: Mutex<Vec<SocketAddr>>,
     /// Store update that is not sent yet.
     pending_update: Mutex<Option<StoreUpdate>>,
     /// Crashes that are not sent yet.
     pending_crashes: Mutex<Vec<Crash>>,
+    /// Crashes reported by another zone that are not sent to this zone yet.
+    forwarded_crashes: Mutex<Vec<Crash>>,
     /// Wakes the task that sends pending updates and crashes, and that announces this host's state
     /// when it is leaving.
     pub send_requested: tokio::sync::Notify,
@@ -89,9 +97,12 @@
         Self {
             table: Mutex::new(MemberTable::new(own)),
             last_heard: Mutex::default(),
+            zone_gossip: Mutex::default(),
+            zone_sizes: Mutex::default(),
             seeds: Mutex::new(seed_addresses(settings)),
             pending_update: Mutex::new(None),
             pending_crashes: Mutex::default(),
+            forwarded_crashes: Mutex::default(),
             send_requested: tokio::sync::Notify::new(),
         }
     }
@@ -103,10 +114,12 @@
 
     /// Applies the facts of a datagram, of which the first is about the sender, and logs what they
     /// change.
-    pub fn apply_facts(&self, facts: Vec<HostFact>, now: Instant) {
+    /// `zone_hosts` is the number of hosts that the sender counts in its zone.
+    pub fn apply_facts(&self, facts: Vec<HostFact>, zone_hosts: u32, now: Instant) {
         let mut table = lock(&self.table);
         if let Some(sender) = facts.first() {
             lock(&self.last_heard).insert(sender.host.clone(), now);
+            lock(&self.zone_sizes).insert(sender.zone.clone(), (zone_hosts, now));
         }
         for fact in facts {
             let change = table.apply(fact, now);
@@ -127,18 +140,104 @@
         (now.saturating_duration_since(latest) < HOST_TTL).then_some(latest)
     }
 
-    /// Returns a few hosts of other zones to probe if those zones have been silent for `ZONE_SILENCE`,
-    /// so that a lack of traffic is not taken for a partition. Returns none after `HOST_TTL` of silence
-    /// or if they were never heard.
-    pub fn silent_zone_probe_targets(&self, now: Instant) -> Vec<SocketAddr> {
-        let is_silence = |since: Instant| now.saturating_duration_since(since) >= ZONE_SILENCE;
-        if !self.other_zones_heard_at(now).is_some_and(is_silence) {
+    /// Returns hosts of other zones to ping if those zones have been silent for `ZONE_SILENCE`, so that
+    /// a lack of traffic is not taken for a partition. In a large fleet these are representatives, and
+    /// only one unless an earlier ping was left unanswered. Returns none after `HOST_TTL` of silence or
+    /// if they were never heard.
+    pub fn silent_zone_targets(&self, now: Instant) -> Vec<SocketAddr> {
+        let heard_at = self.other_zones_heard_at(now);
+        let Some(silence) = heard_at.map(|at| now.saturating_duration_since(at)) else {
+            return Vec::new();
+        };
+        if silence < ZONE_SILENCE {
             return Vec::new();
         }
+        let mut targets = self.other_representatives();
+        let is_large_fleet = !targets.is_empty();
+        let count = match is_large_fleet && silence < UNANSWERED_PING {
+            true => 1,
+            false => CROSS_ZONE_PROBES,
+        };
+        if !is_large_fleet {
+            let table = lock(&self.table);
+            let others = table.active().filter(|fact| fact.zone != table.own().zone);
+            targets = others.map(|fact| fact.address).collect();
+        }
+        targets.shuffle(&mut rand::rng());
+        targets.truncate(count);
+        targets
+    }
+
+    /// Recomputes how gossip is divided by zones.
+    pub fn update_zone_gossip(&self) {
+        let zone_gossip = ZoneGossip::new(&lock(&self.table)).map(Arc::new);
+        *lock(&self.zone_gossip) = zone_gossip;
+    }
+
+    /// Returns how gossip is divided by zones, or `None` in a small fleet.
+    pub fn zone_gossip(&self) -> Option<Arc<ZoneGossip>> {
+        lock(&self.zone_gossip).clone()
+    }
+
+    /// Returns the facts to pass on next to a host, of which `None` or an unknown one counts as a
+    /// host of another zone.
+    pub fn gossip_for(&self, zone: Option<&ZoneId>) -> Vec<HostFact> {
+        let mut table = lock(&self.table);
+        match (self.zone_gossip(), zone) {
+            (None, _) => table.gossip(),
+            (Some(zones), Some(zone)) => table.gossip_where(|fact| zones.is_sent_to(zone, fact)),
+            (Some(_), None) => vec![table.own().clone()],
+        }
+    }
+
+    /// Returns all facts that a host of a zone needs after its start.
+    pub fn all_facts_for(&self, zone: &ZoneId) -> Vec<HostFact> {
         let table = lock(&self.table);
-        let own_zone = table.own().zone.clone();
-        let others = table.active().filter(|fact| fact.zone != own_zone);
-        others.take(CROSS_ZONE_PROBES).map(|fact| fact.address).collect()
+        let mut facts = table.all_facts();
+        if let Some(zones) = self.zone_gossip() {
+            let own = table.own().host.clone();
+            facts.retain(|fact| {
+                fact.host == own || fact.zone == *zone || zones.is_sent_to(zone, fact)
+            });
+        }
+        facts
+    }
+
+    /// Returns the next host to probe. In a large fleet a host probes the hosts of its own zone; in
+    /// `other_zones` rounds, a representative probes those of other zones.
+    pub fn next_probe(&self, other_zones: bool) -> Option<HostFact> {
+        let mut table = lock(&self.table);
+        let own = table.own().clone();
+        match self.zone_gossip() {
+            None => table.next_probe(),
+            Some(zones) => table.next_probe_where(|fact| {
+                (fact.zone != own.zone) == other_zones && zones.is_probed(&own.host, fact)
+            }),
+        }
+    }
+
+    /// Returns whether this host gossips with hosts of other zones.
+    pub fn speaks_for_zone(&self) -> bool {
+        let own = lock(&self.table).own().host.clone();
+        self.zone_gossip().is_none_or(|zones| zones.is_representative(&own))
+    }
+
+    /// Returns the representatives of other zones that seem alive.
+    pub fn other_representatives(&self) -> Vec<SocketAddr> {
+        let Some(zones) = self.zone_gossip() else {
+            return Vec::new();
+        };
+        let table = lock(&self.table);
+        let own_zone = &table.own().zone;
+        let others = table.active().filter(|fact| fact.zone != *own_zone);
+        others.filter(|fact| zones.is_representative(&fact.host)).map(|fact| fact.address).collect()
+    }
+
+    /// Returns the number of active hosts of this host's zone, itself included.
+    pub fn own_zone_hosts(&self) -> u32 {
+        let table = lock(&self.table);
+        let in_zone = table.active().filter(|fact| fact.zone == table.own().zone);
+        u32::try_from(in_zone.count()).unwrap_or(u32::MAX)
     }
 
     /// Returns whether a host was heard from since `then`.
@@ -171,7 +270,7 @@
             matches!(fact.state, HostState::Alive | HostState::Suspect)
                 || recently_heard(&fact.host)
         };
-        let all = table.facts().filter(is_counted).count().max(MIN_ASSUMED_HOSTS);
+        let all = self.count_hosts(&table, is_counted, now).max(MIN_ASSUMED_HOSTS);
         let mut zones: BTreeMap<&ZoneId, Vec<(HostId, Capacity)>> = BTreeMap::new();
         for fact in table.active() {
             zones.entry(&fact.zone).or_default().push((fact.host.clone(), fact.capacity));
@@ -187,6 +286,28 @@
         }
     }
 
+    /// Counts the hosts of all zones: of another zone those that it stated lately, if that is more
+    /// than are known here.
+    fn count_hosts(
+        &self,
+        table: &MemberTable,
+        is_counted: impl Fn(&&HostFact) -> bool,
+        now: Instant,
+    ) -> usize {
+        let mut counts: BTreeMap<&ZoneId, usize> = BTreeMap::new();
+        for fact in table.facts().filter(is_counted) {
+            *counts.entry(&fact.zone).or_default() += 1;
+        }
+        let sizes = lock(&self.zone_sizes);
+        for (zone, (size, at)) in sizes.iter().filter(|(zone, _)| **zone != table.own().zone) {
+            if now.saturating_duration_since(*at) < HOST_TTL {
+                let count = counts.entry(zone).or_default();
+                *count = (*count).max(*size as usize);
+            }
+        }
+        counts.values().sum()
+    }
+
     /// Returns the aggregators of a zone that are alive, without this host.
     pub fn aggregators_of(&self, zone: &ZoneId) -> Vec<Aggregator> {
         let table = lock(&self.table);
@@ -214,22 +335,18 @@
         alive.filter(|fact| fact.host < *own_id).count()
     }
 
-    /// Returns the addresses of the hosts to which this one sends store updates and crashes.
-    pub fn update_receivers(&self) -> Vec<SocketAddr> {
+    /// Returns the hosts to which this one sends store updates and crashes, with their zones.
+    pub fn update_receivers(&self) -> Vec<(SocketAddr, ZoneId)> {
         let table = lock(&self.table);
         let own_id = &table.own().host;
         update_sharers(&table)
             .filter(|fact| fact.host != *own_id)
-            .map(|fact| fact.address)
+            .map(|fact| (fact.address, fact.zone.clone()))
             .collect()
     }
 
-    /// Returns the availability zone of a host, or `None` if the host is not known.
-    pub fn zone_of(&self, host: &HostId) -> Option<ZoneId> {
-        lock(&self.table).get(host).map(|fact| fact.zone.clone())
-    }
-
-    /// Returns the addresses of the other live hosts, those of this host's zone first.
+    /// Returns the addresses of the other live hosts, those of this host's zone first, and in random
+    /// order so that hosts that need the same do not all ask the same peer.
     pub fn live_peers(&self) -> Vec<SocketAddr> {
         let table = lock(&self.table);
         let own_fact = table.own();
@@ -237,6 +354,7 @@
             .active()
             .filter(|fact| fact.state == HostState::Alive && fact.host != own_fact.host)
             .collect();
+        alive.shuffle(&mut rand::rng());
         alive.sort_by_key(|fact| fact.zone != own_fact.zone);
         alive.iter().map(|fact| fact.address).collect()
     }
@@ -272,6 +390,17 @@
         std::mem::take(&mut *lock(&self.pending_crashes))
     }
 
+    /// Queues a crash that another zone reported, for sending to the hosts of this zone.
+    pub fn forward_crash(&self, crash: Crash) {
+        lock(&self.forwarded_crashes).push(crash);
+        self.send_requested.notify_one();
+    }
+
+    /// Removes and returns the queued crashes that another zone reported.
+    pub fn take_forwarded_crashes(&self) -> Vec<Crash> {
+        std::mem::take(&mut *lock(&self.forwarded_crashes))
+    }
+
     /// Marks this host as leaving and announces that to the other hosts.
     pub fn leave(&self) {
         lock(&self.table).update_own(HostState::Leaving, Vec::new());
@@ -279,11 +408,13 @@
     }
 }
 
-/// Returns the active hosts, this one included, that share what one of them reads from the store.
+/// Returns the active hosts, this one included, that share what one of them reads from the store. In
+/// a large fleet each zone reads the store for itself, so that the messages of one host do not grow
+/// with the fleet.
 fn update_sharers(table: &MemberTable) -> impl Iterator<Item = &HostFact> {
     let count = table.active().count();
     let zone = &table.own().zone;
-    table.active().filter(move |fact| count <= MAX_HOSTS_SHARING_ACROSS_ZONES || fact.zone == *zone)
+    table.active().filter(move |fact| count <= MAX_HOSTS_WITHOUT_ZONES || fact.zone == *zone)
 }
 
 /// Returns the processor capacity that the settings state, in thousandths of a core and at least 1.
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -18,8 +18,10 @@
 /// A datagram of the gossip between hosts.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Datagram {
-    /// Facts about hosts, beginning with the sender itself.
+    /// Facts about hosts, beginning with the sender itself; none in a ping.
     pub facts: Vec<HostFact>,
+    /// Number of hosts that the sender counts in its own zone.
+    pub zone_hosts: u32,
     /// Version of the newest configuration that the sender has; 0 for none.
     pub config: ConfigVersion,
     /// Why the datagram is sent, and its further content.
@@ -35,7 +37,9 @@
         /// after its start; otherwise it has only the recent facts that are still being spread.
         wants_all: bool,
     },
-    /// Answers a probe.
+    /// Asks a host of another zone for a reply without gossip.
+    Ping,
+    /// Answers a probe or a ping.
     Reply,
     /// Passes on changes that the sender read from the store.
     #[serde(rename = "News")]
@@ -122,4 +126,7 @@
     pub parts: Vec<(u32, Vec<u8>)>,
     /// The greatest records of these answers, in descending order.
     pub records: Vec<u8>,
+    /// For each shard without an answer, its index in `GroupQuery::shards` and the searchers that it
+    /// was sent to: none if it was left out.
+    pub missing: Vec<(u32, Vec<SearcherId>)>,
 }
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -8,7 +8,9 @@
 use std::time::Instant;
 
 use galenaloft_policy::ids::Capacity;
+use galenaloft_policy::ids::ConfigVersion;
 use galenaloft_policy::ids::HostId;
+use galenaloft_policy::route::Configuration;
 use galenaloft_policy::route::Route;
 use galenaloft_policy::routing::ReplicaView;
 use galenaloft_policy::routing::SearcherHealth;
@@ -49,11 +51,21 @@
     last_answers: Mutex<BTreeMap<HostId, Instant>>,
 }
 
+/// Why an aggregator returned no reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GroupFailure {
+    /// The query was not sent to it; holds the reason.
+    NotRun(&'static str),
+    /// It may have sent the query to searchers; holds the reason.
+    MayHaveRun(&'static str),
+}
+
 /// The aggregator that was chosen to relay a query to the searchers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Relay {
     host: HostId,
     address: SocketAddr,
+    capacity: Capacity,
 }
 
 impl Relay {
@@ -61,11 +73,16 @@
     pub fn name(&self) -> &HostId {
         &self.host
     }
+
+    /// Returns the host's processor capacity.
+    pub fn capacity(&self) -> Capacity {
+        self.capacity
+    }
 }
 
 impl From<Aggregator> for Relay {
     fn from(aggregator: Aggregator) -> Self {
-        Self { host: aggregator.host, address: aggregator.address }
+        Self { host: aggregator.host, address: aggregator.address, capacity: aggregator.capacity }
     }
 }
 
@@ -102,28 +119,6 @@
         aggregators.iter().map(capacity).collect()
     }
 
-    /// Chooses the aggregator that is expected to answer first, or returns `None` if all of them
-    /// failed a moment ago. `prior` is the expected latency, in seconds, of one without
-    /// observations.
-    pub fn choose(
-        &self,
-        hosts: impl Iterator<Item = (HostId, SocketAddr)>,
-        route: &Route,
-        prior: f64,
-        now: Instant,
-    ) -> Option<Relay> {
-        let health = lock(&self.health);
-        let view = peer_view(route, prior);
-        let cost = |host: &HostId| match health.get(host) {
-            Some(health) if health.is_avoided(now) => None,
-            Some(health) => Some(health.cost(&view, now)),
-            None => Some(prior),
-        };
-        let usable = hosts.filter_map(|host| cost(&host.0).map(|cost| (cost, host)));
-        let (_, (host, address)) = usable.min_by(|a, b| a.0.total_cmp(&b.0))?;
-        Some(Relay { host, address })
-    }
-
     /// Returns whether the peer has answered a query since `then`, or at any time if that is
     /// `None`.
     pub fn answered_since(&self, relay: &Relay, then: Option<Instant>) -> bool {
@@ -138,35 +133,35 @@
         relay: &Relay,
         route: &Route,
         query: GroupQuery,
-    ) -> Result<GroupReply, &'static str> {
+    ) -> Result<GroupReply, GroupFailure> {
         let started_at = now();
         let running = RunningCall::begin(self, &relay.host, started_at);
-        let time_left = query.time_left;
-        let reply = timeout(time_left, async {
-            let client = self.client(relay.address).await.ok()?;
-            client.gather(long_deadline(), query).await.ok()
-        })
-        .await;
+        let Ok(client) = self.client(relay.address).await else {
+            lock(&self.health).entry(relay.host.clone()).or_default().record_failure(now());
+            return Err(GroupFailure::NotRun("the peer cannot be connected to"));
+        };
+        let time_left = query.time_left.saturating_sub(now().saturating_duration_since(started_at));
+        let reply = timeout(time_left, client.gather(long_deadline(), query)).await;
         drop(running);
         let ended_at = now();
         let mut health = lock(&self.health);
         let health = health.entry(relay.host.clone()).or_default();
         match reply {
-            Ok(Some(Some(reply))) => {
+            Ok(Ok(Some(reply))) => {
                 let latency = ended_at.saturating_duration_since(started_at);
                 lock(&self.last_answers).insert(relay.host.clone(), ended_at);
                 health.record_answer(&route.name, latency, ended_at);
                 Ok(reply)
             }
-            Ok(Some(None)) => Err("the peer returned no answers"),
-            Ok(None) => {
+            Ok(Ok(None)) => Err(GroupFailure::MayHaveRun("the peer returned no answers")),
+            Ok(Err(_)) => {
                 health.record_failure(ended_at);
                 lock(&self.clients).remove(&relay.address);
-                Err("the connection to the peer failed")
+                Err(GroupFailure::MayHaveRun("the connection to the peer failed"))
             }
             Err(_) => {
                 health.record_failure(ended_at);
-                Err("the peer did not answer in time")
+                Err(GroupFailure::MayHaveRun("the peer did not answer in time"))
             }
         }
     }
@@ -196,6 +191,27 @@
         }
     }
 
+    /// Requests a peer's configuration if it is newer than `version`. Returns `None` if it is not, or
+    /// if the peer fails to answer within `limit`.
+    pub async fn fetch_newer_configuration(
+        &self,
+        address: SocketAddr,
+        version: ConfigVersion,
+        limit: Duration,
+    ) -> Option<Configuration> {
+        let request = async {
+            let client = self.client(address).await.ok()?;
+            client.newer_configuration(long_deadline(), version).await.ok()
+        };
+        match timeout(limit, request).await {
+            Ok(Some(config)) => config,
+            Ok(None) | Err(_) => {
+                lock(&self.clients).remove(&address);
+                None
+            }
+        }
+    }
+
     /// Returns the client for the peer at an address, connected first if there is none yet.
     async fn client(&self, address: SocketAddr) -> io::Result<EdgePeerClient> {
         if let Some(client) = lock(&self.clients).get(&address) {
--- a/crates/edge/src/peers/service.rs
+++ b/crates/edge/src/peers/service.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use futures::StreamExt;
+use galenaloft_policy::ids::ConfigVersion;
+use galenaloft_policy::route::Configuration;
 use galenaloft_telemetry::log::Event;
 use tarpc::context::Context;
 use tarpc::serde_transport::Transport;
@@ -30,6 +32,9 @@
 
     /// Returns what the host knows of the store, or `None` before it knows anything.
     async fn knowledge() -> Option<StoreView>;
+
+    /// Returns the host's configuration if its version is greater than `version`.
+    async fn newer_configuration(version: ConfigVersion) -> Option<Configuration>;
 }
 
 #[derive(Debug, Clone)]
@@ -45,6 +50,15 @@
     async fn knowledge(self, _: Context) -> Option<StoreView> {
         self.host.store_view()
     }
+
+    async fn newer_configuration(
+        self,
+        _: Context,
+        version: ConfigVersion,
+    ) -> Option<Configuration> {
+        let config = self.host.config().filter(|config| config.version > version);
+        config.map(|config| (*config).clone())
+    }
 }
 
 /// Serves calls of other hosts for as long as the process runs.
--- a/crates/edge/src/query/gather.rs
+++ b/crates/edge/src/query/gather.rs
@@ -23,9 +23,11 @@
 use galenaloft_policy::route::Gather;
 use galenaloft_runtime::clock::now;
 use galenaloft_runtime::clock::sleep_until;
+use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 
 use crate::host::Host;
+use crate::peers::GroupFailure;
 use crate::peers::GroupReply;
 use crate::query::RoutedRequest;
 use crate::query::attempt;
@@ -33,27 +35,42 @@
 use crate::query::group::ShardGroup;
 use crate::query::shard::ShardFailure;
 use crate::query::shard::ShardQuery;
+use crate::query::shard::Tried;
 
 /// Time after which a caller may retry when no searcher ran its request, or the host cannot meet
 /// the coverage floor because its zone is cut off.
 const CALLER_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// An aggregator asks more shards than the coverage floor needs of it, by its number of shards
+/// divided by this.
+const RESERVE_DIVISOR: usize = 30;
+
 /// Result of one task of a query.
 enum TaskResult {
     /// Result of one shard that was queried directly. A searcher may have run the request even if
     /// there is no part.
     Shard { index: usize, part: Result<SearcherAnswer, ShardFailure>, may_have_run: bool },
     /// Reply of an aggregator for a group of shards.
-    Group { group: ShardGroup, reply: Result<GroupReply, &'static str> },
+    Group { group: ShardGroup, reply: Result<GroupReply, GroupFailure> },
 }
 
 /// A shard that is only queried if the coverage floor cannot be met without it.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct SkippedShard {
     index: usize,
-    /// Whether it was already queried through an aggregator, so that a further query is an extra
-    /// request.
-    already_queried: bool,
+    /// Attempts that were made through an aggregator.
+    earlier: EarlierAttempts,
+}
+
+/// Attempts at a shard that were made through an aggregator.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum EarlierAttempts {
+    /// None were made.
+    None,
+    /// The aggregator did not say which; it keeps to the allowed searchers.
+    Unknown,
+    /// They were sent to these searchers.
+    Sent(Vec<SearcherId>),
 }
 
 type Task = Pin<Box<dyn Future<Output = TaskResult> + Send>>;
@@ -89,6 +106,8 @@
     skipped: Vec<SkippedShard>,
     /// For each shard the searchers that may be tried; empty for all listed searchers.
     allowed: Vec<Vec<SearcherId>>,
+    /// For each shard the searchers that this host sent it to.
+    tried: BTreeMap<usize, Tried>,
     may_have_run: bool,
 }
 
@@ -114,6 +133,7 @@
             pending_groups: Vec::new(),
             skipped: Vec::new(),
             allowed,
+            tried: BTreeMap::new(),
             may_have_run: false,
         }
     }
@@ -139,12 +159,14 @@
         let needed_directly = min_parts.saturating_sub(grouped.len());
         let queried = self.query_shards(&direct, needed_directly, objective, now);
         // Skipped shards count as missing, so the groups must deliver all parts that the direct
-        // queries cannot contribute to `min_parts`.
+        // queries cannot contribute to `min_parts`, and a few more since some parts may be lost.
         let needed_from_groups = min_parts.saturating_sub(queried);
         self.pin_searchers(&grouped);
         for group in groups {
             let in_other_groups = grouped.len() - group.shards.len();
             let needed = needed_from_groups.saturating_sub(in_other_groups);
+            let needed =
+                (needed + group.shards.len().div_ceil(RESERVE_DIVISOR)).min(group.shards.len());
             self.query_group(group, needed, objective, now);
         }
     }
@@ -181,8 +203,8 @@
         let selected = select_shards(&expected_latencies, &draws, min_parts, time_left);
         for (index, selected) in shards.iter().zip(&selected) {
             match selected {
-                true => self.query_shard(*index, false),
-                false => self.skipped.push(SkippedShard { index: *index, already_queried: false }),
+                true => self.query_shard(*index, EarlierAttempts::None),
+                false => self.skip_shard(*index, EarlierAttempts::None),
             }
         }
         let count = selected.iter().filter(|selected| **selected).count();
@@ -197,6 +219,10 @@
         count
     }
 
+    fn skip_shard(&mut self, index: usize, earlier: EarlierAttempts) {
+        self.skipped.push(SkippedShard { index, earlier });
+    }
+
     /// Collects parts until all are received, no query is pending, `min_parts` can no longer be met
     /// or the wait policy ends the wait. Queries the skipped shards once `min_parts` cannot be met
     /// without them, and bypasses overdue aggregators. Returns whether the deadline passed before
@@ -266,12 +292,18 @@
     pub fn finish_group(mut self) -> GroupReply {
         self.finish_pending_in_background();
         let mut records = TopRecords::new(self.gather.top_records);
+        let is_missing = |index: &usize| !self.direct_parts.contains_key(index);
+        let tried = |index: usize| self.tried.get(&index).map(|tried| lock(tried).clone());
+        let missing = (0..self.gather.shards.len())
+            .filter(is_missing)
+            .map(|index| (index as u32, tried(index).unwrap_or_default()))
+            .collect();
         let mut parts = Vec::with_capacity(self.direct_parts.len());
         for (index, answer) in self.direct_parts {
             records.add(&answer.body);
             parts.push((index as u32, answer.signature.as_bytes().to_vec()));
         }
-        GroupReply { parts, records: records.finish() }
+        GroupReply { parts, records: records.finish(), missing }
     }
 
     /// Returns whether a searcher may have run the request.
@@ -294,15 +326,21 @@
         }
     }
 
-    /// Queries one shard directly. `is_extra` is set if the shard was already queried through an
-    /// aggregator; the query is then only sent if [`ShardQuery::charge_as_extra`] allows it.
-    fn query_shard(&mut self, index: usize, is_extra: bool) {
+    /// Queries one shard directly, after the attempts that were made through an aggregator. Does
+    /// nothing if no further attempt is allowed.
+    fn query_shard(&mut self, index: usize, earlier: EarlierAttempts) {
         let service = &self.gather.shards[index];
         let mut query = ShardQuery::new(self.host, self.request, service, &self.finished);
         query.allow_only(&self.allowed[index]);
-        if is_extra && !query.charge_as_extra() {
+        let is_allowed = match earlier {
+            EarlierAttempts::None => true,
+            EarlierAttempts::Unknown => query.charge_as_extra(),
+            EarlierAttempts::Sent(tried) => query.continue_after(tried),
+        };
+        if !is_allowed {
             return;
         }
+        self.tried.insert(index, query.tried());
         self.pending_shards += 1;
         self.tasks.push(Box::pin(async move {
             let part = query.run(is_success).await;
@@ -320,7 +358,10 @@
         now: Instant,
     ) {
         self.pending_shards += group.shards.len();
-        self.pending_groups.push((group.clone(), group.overdue_at(self.host, objective, now)));
+        self.pending_groups.push((
+            group.clone(),
+            group.overdue_at(self.host, &self.request.route, objective, now),
+        ));
         let query =
             group.query(self.request, self.gather, &self.allowed, min_parts, objective, now);
         let (host, request) = (self.host.clone(), self.request.clone());
@@ -356,31 +397,35 @@
                 let was_pending = position.map(|i| self.pending_groups.swap_remove(i)).is_some();
                 match reply {
                     Ok(reply) => self.add_group_reply(&group, reply),
-                    Err(_) if was_pending => self.bypass_aggregator(&group),
+                    Err(failure) if was_pending => self.bypass_aggregator(&group, failure),
                     Err(_) => {}
                 }
             }
         }
     }
 
-    /// Adds the parts of an aggregator's reply. Shards that have a part neither in it nor directly
-    /// are marked as skipped. A reply with an invalid position or signature is dropped without its
-    /// records.
+    /// Adds the parts of an aggregator's reply, and marks the shards without a part as skipped. A
+    /// reply with an invalid position or signature is dropped whole.
     fn add_group_reply(&mut self, group: &ShardGroup, reply: GroupReply) {
-        let received: Vec<usize> =
-            reply.parts.iter().map(|(position, _)| *position as usize).collect();
-        for (position, index) in group.shards.iter().enumerate() {
-            if !received.contains(&position) && !self.direct_parts.contains_key(index) {
-                self.skipped.push(SkippedShard { index: *index, already_queried: true });
+        let index_of = |position: u32| group.shards.get(position as usize).copied();
+        let decode = |(position, signature): (u32, Vec<u8>)| {
+            Some((index_of(position)?, Signature::from_bytes(&signature).ok()?))
+        };
+        let Some(parts) = reply.parts.into_iter().map(decode).collect::<Option<Vec<_>>>() else {
+            Event::new("group_reply_unreadable").with("peer", group.aggregator.name()).warn();
+            return;
+        };
+        for (position, tried) in reply.missing {
+            if let Some(index) = index_of(position).filter(|i| !self.direct_parts.contains_key(i)) {
+                let earlier = match tried.is_empty() {
+                    true => EarlierAttempts::None,
+                    false => EarlierAttempts::Sent(tried),
+                };
+                self.skip_shard(index, earlier);
             }
         }
-        let mut signatures = Vec::with_capacity(reply.parts.len());
-        for (position, signature) in reply.parts {
-            let index = group.shards.get(position as usize).copied();
-            let signature = Signature::from_bytes(&signature).ok();
-            let (Some(index), Some(signature)) = (index, signature) else {
-                return;
-            };
+        let mut signatures = Vec::with_capacity(parts.len());
+        for (index, signature) in parts {
             self.received_from_aggregator[index] = true;
             signatures.push(signature);
         }
@@ -396,27 +441,32 @@
                 continue;
             }
             self.host.relays.record_overdue(&group.aggregator, now);
-            self.bypass_aggregator(&group);
+            self.bypass_aggregator(&group, GroupFailure::MayHaveRun("the peer is overdue"));
         }
     }
 
     /// Queries the skipped shards, since the coverage floor cannot be met without them.
     fn query_skipped(&mut self) {
-        for SkippedShard { index, already_queried } in std::mem::take(&mut self.skipped) {
-            self.query_shard(index, already_queried);
+        for SkippedShard { index, earlier } in std::mem::take(&mut self.skipped) {
+            self.query_shard(index, earlier);
         }
     }
 
     /// Queries the shards of a group directly, because its aggregator failed or is overdue.
-    fn bypass_aggregator(&mut self, group: &ShardGroup) {
+    fn bypass_aggregator(&mut self, group: &ShardGroup, failure: GroupFailure) {
+        let (earlier, why) = match failure {
+            GroupFailure::NotRun(why) => (EarlierAttempts::None, why),
+            GroupFailure::MayHaveRun(why) => (EarlierAttempts::Unknown, why),
+        };
         Event::new("peer_bypassed")
             .with("request", &self.request.inbound.id)
             .with("peer", group.aggregator.name())
             .with("shards", group.shards.len())
+            .with("why", why)
             .with("waited_ms", now().saturating_duration_since(self.request.arrived_at).as_millis())
             .info();
         for index in &group.shards {
-            self.query_shard(*index, true);
+            self.query_shard(*index, earlier.clone());
         }
     }
 }
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -16,6 +16,8 @@
 use galenaloft_policy::gathering::WaitPolicy;
 use galenaloft_policy::gathering::answer_processing_time;
 use galenaloft_policy::gathering::distribute_shards;
+use galenaloft_policy::gathering::expected_group_time;
+use galenaloft_policy::gathering::is_too_wide;
 use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::ids::ZoneId;
 use galenaloft_policy::route::Gather;
@@ -24,6 +26,7 @@
 use galenaloft_runtime::clock::now;
 
 use crate::host::Host;
+use crate::peers::Aggregator;
 use crate::peers::GroupQuery;
 use crate::peers::GroupReply;
 use crate::peers::GroupShard;
@@ -39,6 +42,9 @@
 /// answered are queried directly.
 const AGGREGATOR_TIMEOUT_FRACTION: f64 = 0.45;
 
+/// Multiple of the time in which an aggregator is expected to answer after which it is overdue.
+const LATE_FACTOR: u32 = 2;
+
 /// Maximum age of an aggregator's last answer for the aggregator to count as responsive.
 const RESPONSIVE_WINDOW: Duration = Duration::from_secs(2);
 
@@ -63,10 +69,15 @@
         true => Vec::new(),
         false => other_zone_groups(host, request, gather, now),
     };
+    let grouped: Vec<usize> = groups.iter().flat_map(|group| &group.shards).copied().collect();
+    let ungrouped = gather.shards.len() - grouped.len();
     let share =
         gather.shards.first().map(|shard| request.connection_share(shard, host.sharing_hosts()));
-    if share.is_some_and(|share| share.uses_aggregators()) {
-        let grouped: Vec<usize> = groups.iter().flat_map(|group| &group.shards).copied().collect();
+    let time_left =
+        (request.arrived_at + request.route.target_latency).saturating_duration_since(now);
+    if share.is_some_and(|share| share.uses_aggregators())
+        || is_too_wide(ungrouped, host.capacity(), time_left)
+    {
         groups.extend(own_zone_groups(host, request, gather, &grouped, now));
     }
     groups
@@ -123,34 +134,71 @@
             break;
         }
         let best_zones = counts.iter().filter(|(_, count)| **count == max_count);
-        let best_zones: Vec<ZoneId> = best_zones.map(|(zone, _)| (*zone).clone()).collect();
-        let prior = host.latency_estimate(&request.route).median();
-        let aggregators = best_zones.iter().flat_map(|zone| host.peers.aggregators_of(zone));
-        let aggregators = aggregators.map(|aggregator| (aggregator.host, aggregator.address));
-        let Some(aggregator) = host.relays.choose(aggregators, &request.route, prior, now) else {
-            break;
-        };
-        let Some(zone) = host.peers.zone_of(aggregator.name()) else {
+        let aggregators: Vec<(ZoneId, Aggregator)> = best_zones
+            .flat_map(|(zone, _)| {
+                let in_zone = host.peers.aggregators_of(zone).into_iter();
+                in_zone.map(|aggregator| ((*zone).clone(), aggregator))
+            })
+            .collect();
+        let added = distribute_among(host, request, &mut remote_shards, aggregators, now);
+        if added.is_empty() {
             break;
-        };
-        let in_zone =
-            |(index, zones): (&usize, &Vec<ZoneId>)| zones.contains(&zone).then_some(*index);
-        let shards: Vec<usize> = remote_shards.iter().filter_map(in_zone).collect();
-        shards.iter().for_each(|index| drop(remote_shards.remove(index)));
-        groups.push(ShardGroup { aggregator, shards });
+        }
+        groups.extend(added);
+    }
+    groups
+}
+
+/// Takes shards out of `remote_shards`, each with the zones of its healthy searchers, and groups
+/// them by some of the aggregators so that the last part arrives as early as possible.
+fn distribute_among(
+    host: &Host,
+    request: &RoutedRequest,
+    remote_shards: &mut BTreeMap<usize, Vec<ZoneId>>,
+    aggregators: Vec<(ZoneId, Aggregator)>,
+    now: Instant,
+) -> Vec<ShardGroup> {
+    let hosts: Vec<Aggregator> = aggregators.iter().map(|(_, host)| host.clone()).collect();
+    let capacities = host.relays.usable_capacities(&hosts, &request.route, now);
+    if capacities.iter().all(|capacity| *capacity == 0) {
+        return Vec::new();
+    }
+    let in_any = |zones: &&Vec<ZoneId>| aggregators.iter().any(|(zone, _)| zones.contains(zone));
+    let count = remote_shards.values().filter(in_any).count();
+    let counts = distribute_shards(count, host.capacity(), false, &capacities);
+    let mut groups = Vec::new();
+    for ((zone, aggregator), count) in aggregators.into_iter().zip(counts) {
+        let in_zone = remote_shards.iter().filter(|(_, zones)| zones.contains(&zone));
+        let shards: Vec<usize> = in_zone.map(|(index, _)| *index).take(count).collect();
+        if !shards.is_empty() {
+            remote_shards.retain(|index, _| !shards.contains(index));
+            groups.push(ShardGroup { aggregator: aggregator.into(), shards });
+        }
     }
     groups
 }
 
 impl ShardGroup {
     /// Returns when the aggregator is overdue, so that its shards are queried directly.
-    pub fn overdue_at(&self, host: &Host, objective: Instant, now: Instant) -> Instant {
+    pub fn overdue_at(
+        &self,
+        host: &Host,
+        route: &Route,
+        objective: Instant,
+        now: Instant,
+    ) -> Instant {
         // An aggregator that answered recently is working. If it is late, its searchers are slow,
         // and querying them a second time would not help.
         if host.relays.answered_since(&self.aggregator, now.checked_sub(RESPONSIVE_WINDOW)) {
             return objective;
         }
-        now + objective.saturating_duration_since(now).mul_f64(AGGREGATOR_TIMEOUT_FRACTION)
+        let fraction =
+            objective.saturating_duration_since(now).mul_f64(AGGREGATOR_TIMEOUT_FRACTION);
+        let searcher_latency = host.latency_estimate(route).overdue_after();
+        let capacity = self.aggregator.capacity();
+        let expected = expected_group_time(self.shards.len(), capacity, searcher_latency);
+        let late = expected * LATE_FACTOR + AGGREGATOR_REPLY_TIME;
+        (now + fraction.max(late)).min(objective)
     }
 
     /// Builds the query to the aggregator. `allowed` has the searchers that may be tried for each
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -4,6 +4,7 @@
 //! extra requests. A budget limits the extra requests that all hosts together send to a service.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -63,6 +64,10 @@
     Expired,
 }
 
+/// Searchers that one shard's attempts were sent to. The query that owns the shard sees them while
+/// the attempts run.
+pub type Tried = Arc<Mutex<Vec<SearcherId>>>;
+
 /// The request to one shard or service.
 pub struct ShardQuery {
     host: Arc<Host>,
@@ -70,7 +75,7 @@
     service_id: ServiceId,
     service: Arc<Service>,
     /// Searchers that an attempt was sent to.
-    tried: Vec<SearcherId>,
+    tried: Tried,
     /// Searchers that may be tried; empty for all listed searchers.
     allowed: Vec<SearcherId>,
     /// Attempts in progress.
@@ -99,7 +104,7 @@
             host: host.clone(),
             request: request.clone(),
             service_id: service_id.clone(),
-            tried: Vec::new(),
+            tried: Tried::default(),
             allowed: Vec::new(),
             running: FuturesUnordered::new(),
             hedge_at: None,
@@ -114,6 +119,23 @@
         self.allowed = allowed.to_vec();
     }
 
+    /// Continues after attempts of another host, to the searchers in `tried`. A further attempt is
+    /// sent to another searcher if the route allows one more, and otherwise to one of these. Returns
+    /// whether there may be a further attempt.
+    pub fn continue_after(&mut self, tried: Vec<SearcherId>) -> bool {
+        if tried.len() < self.request.route.max_attempts as usize {
+            *lock(&self.tried) = tried;
+            return true;
+        }
+        self.allowed = tried;
+        self.charge_as_extra()
+    }
+
+    /// Returns the searchers that attempts were sent to, which grow while the query runs.
+    pub fn tried(&self) -> Tried {
+        self.tried.clone()
+    }
+
     /// Charges the request to the budget of extra requests, because the shard was already queried
     /// through an aggregator, and limits it to one attempt. Returns whether the budget and the
     /// route allow it. The aggregator may have tried any of the allowed searchers, so the request
@@ -144,7 +166,8 @@
         let mut fallback: Option<Result<SearcherAnswer, ShardFailure>> = None;
         loop {
             if self.running.is_empty() {
-                match self.start_attempt(!self.tried.is_empty()).await {
+                let is_retry = !lock(&self.tried).is_empty();
+                match self.start_attempt(is_retry).await {
                     Ok(()) => {}
                     Err(failure) => return fallback.unwrap_or(Err(failure)),
                 }
@@ -197,17 +220,22 @@
     fn has_attempts_left(&self) -> bool {
         let max_attempts =
             if self.charged_as_extra { 1 } else { self.request.route.max_attempts as usize };
-        self.tried.len() < max_attempts
+        lock(&self.tried).len() < max_attempts
     }
 
     /// Starts the first attempt, or a retry after all earlier ones have failed. Waits while no
     /// searcher has a free connection. May return `Ok` without a running attempt if the connection
     /// turned out not to be available.
     async fn start_attempt(&mut self, is_retry: bool) -> Result<(), ShardFailure> {
-        if is_retry && (self.finished.load(Ordering::Relaxed) || !self.has_attempts_left()) {
+        if is_retry && !self.has_attempts_left() {
             return Err(ShardFailure::NoSearcher);
         }
         loop {
+            // The answer of the caller's request, or of the other host, said which searchers were
+            // tried.
+            if self.finished.load(Ordering::Relaxed) {
+                return Err(ShardFailure::NoSearcher);
+            }
             let now = now();
             if now >= self.request.deadline {
                 return Err(ShardFailure::Expired);
@@ -291,7 +319,8 @@
             false => ZoneScope::All,
         };
         let share = self.connection_share();
-        let candidates = Candidates { allowed: &self.allowed, tried: &self.tried, zone_scope };
+        let tried = lock(&self.tried);
+        let candidates = Candidates { allowed: &self.allowed, tried: &tried, zone_scope };
         self.service.choose(&self.request.route, prior, candidates, share, now)
     }
 
@@ -307,7 +336,7 @@
         let Some(lease) = lease else {
             return;
         };
-        self.tried.push(searcher.entry.id.clone());
+        lock(&self.tried).push(searcher.entry.id.clone());
         self.hedge_at = Some(self.next_hedge_at(searcher, now));
         self.running.push(attempt::start(&self.host, &self.request, lease));
     }
--- a/crates/edge/src/store/reader.rs
+++ b/crates/edge/src/store/reader.rs
@@ -1,13 +1,18 @@
 //! The task that keeps the configuration and the list of searchers up to date with the store.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
+use galenaloft_adapter::store::Freshness;
 use galenaloft_adapter::store::StoreClient;
 use galenaloft_adapter::store::StoreError;
 use galenaloft_adapter::store::Update;
+use galenaloft_policy::catch_up::ConfigCatchUp;
+use galenaloft_policy::catch_up::ConfigReport;
+use galenaloft_policy::catch_up::ConfigSource;
 use galenaloft_policy::directory::ChangeEffect;
 use galenaloft_policy::directory::Directory;
 use galenaloft_policy::directory::RevisionedChange;
@@ -29,8 +34,9 @@
 /// Longest wait for an answer of the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Longest wait for a peer to return what it knows of the store.
-const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for a peer to return what it knows of the store, or its configuration. All hosts of
+/// a zone may ask for it at the same time.
+const PEER_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Most peers that are asked, one after the other, until one knows the store.
 const MAX_PEERS_ASKED: usize = 3;
@@ -38,8 +44,15 @@
 /// What another host reports about the store.
 #[derive(Debug)]
 pub enum PeerNotice {
-    /// Version of a configuration that is newer than the one of this host.
-    NewerConfig(ConfigVersion),
+    /// The other host has a configuration that is newer than the one of this host.
+    NewerConfig {
+        /// Version of that configuration.
+        version: ConfigVersion,
+        /// Address of the other host.
+        peer: SocketAddr,
+        /// Whether the other host is in this host's zone.
+        in_own_zone: bool,
+    },
     /// Changes that the other host has read.
     StoreUpdate(StoreUpdate),
 }
@@ -54,6 +67,10 @@
     schedule: ReadSchedule,
     /// Whether the store has failed since the last successful read.
     store_failed: bool,
+    /// How the next read of the whole content is done: the first one may return an old state, since
+    /// the changes after it are read at once.
+    freshness: Freshness,
+    catch_up: ConfigCatchUp,
 }
 
 /// Follows the store for as long as the process runs, by reading it and by notices of other hosts.
@@ -66,6 +83,8 @@
         revision: 0,
         schedule: ReadSchedule::default(),
         store_failed: false,
+        freshness: Freshness::MayBeOld,
+        catch_up: ConfigCatchUp::default(),
     };
     loop {
         let position = reader.host.peers.read_position();
@@ -89,7 +108,11 @@
         let ended_at = now();
         match result {
             Ok(()) => {
+                let is_first = self.schedule.age(started_at).is_none();
                 self.record_known_up_to(started_at);
+                if is_first {
+                    self.schedule.record_first_read(started_at, rand::random());
+                }
                 if std::mem::take(&mut self.store_failed) {
                     Event::new("store_back").with("revision", self.revision).info();
                 }
@@ -99,6 +122,7 @@
                 // The store has compacted the changes after this revision; the next read loads
                 // everything.
                 self.revision = 0;
+                self.freshness = Freshness::Current;
             }
             Err(e) => self.handle_failure(&e, ended_at).await,
         }
@@ -108,7 +132,7 @@
     async fn read_changes(&mut self, after: StoreRevision) -> Result<(), StoreError> {
         // The store or a peer's view may have had searchers but no configuration before.
         if self.host.config().is_none() {
-            let update = self.client.configuration().await?;
+            let update = self.client.configuration(Freshness::Current).await?;
             self.adopt_configuration(update.configuration);
         }
         let update = self.client.changes(after).await?;
@@ -123,16 +147,24 @@
     }
 
     /// Reads the configuration and all searchers. Changes are followed from the revision of the
-    /// first answer on, so that one made between the two answers is not missed.
+    /// first answer on, so that one made between the two answers is not missed. An old state is
+    /// brought up to date before it is used.
     async fn read_all(&mut self) -> Result<(), StoreError> {
-        let config = self.client.configuration().await?;
-        log_unreadable(&config);
-        self.adopt_configuration(config.configuration);
-        let listing = self.client.searchers().await?;
-        log_unreadable(&listing);
+        let config = self.client.configuration(self.freshness).await?;
+        let listing = self.client.searchers(self.freshness).await?;
         let revision = if config.revision == 0 { listing.revision } else { config.revision };
-        let changed = self.directory.replace(listing.searchers, revision, now());
-        self.revision = revision;
+        let changes = match self.freshness {
+            Freshness::Current => Update { revision, ..Update::default() },
+            Freshness::MayBeOld => self.client.changes(revision).await?,
+        };
+        [&config, &listing, &changes].into_iter().for_each(log_unreadable);
+        let now = now();
+        self.adopt_configuration(changes.configuration.or(config.configuration));
+        let mut changed = self.directory.replace(listing.searchers, revision, now);
+        for change in changes.searchers {
+            changed |= self.directory.apply(change, now) == ChangeEffect::Changed;
+        }
+        self.revision = changes.revision;
         self.publish_searchers(changed);
         self.host.searchers_loaded.store(true, Ordering::Relaxed);
         Ok(())
@@ -151,27 +183,60 @@
         }
     }
 
-    /// Handles a notice of another host: reads the newer configuration, from a peer if the
-    /// store does not return it, or applies the changes.
+    /// Handles a notice of another host.
     async fn handle_notice(&mut self, notice: PeerNotice) {
         match notice {
-            PeerNotice::NewerConfig(version) if version > self.host.config_version() => {
-                match self.client.configuration().await {
-                    Ok(update) => {
-                        log_unreadable(&update);
-                        self.adopt_configuration(update.configuration);
-                    }
-                    Err(e) => self.handle_failure(&e, now()).await,
-                }
+            PeerNotice::NewerConfig { version, peer, in_own_zone } => {
                 if version > self.host.config_version() {
-                    self.ask_peers().await;
+                    self.get_newer_configuration(version, peer, in_own_zone).await;
                 }
             }
-            PeerNotice::NewerConfig(_) => {}
             PeerNotice::StoreUpdate(update) => self.apply_update(update),
         }
     }
 
+    /// Gets a newer configuration from the peer that reported it or from the store, if that is due.
+    async fn get_newer_configuration(
+        &mut self,
+        version: ConfigVersion,
+        peer: SocketAddr,
+        in_own_zone: bool,
+    ) {
+        let report = ConfigReport {
+            from_sharer: in_own_zone || self.host.peers.zone_gossip().is_none(),
+            is_representative: self.host.peers.speaks_for_zone(),
+        };
+        let Some(source) = self.catch_up.next_source(report, now()) else {
+            return;
+        };
+        let config = match source {
+            ConfigSource::Peer => {
+                let relays = &self.host.relays;
+                let own_version = self.host.config_version();
+                relays.fetch_newer_configuration(peer, own_version, PEER_TIMEOUT).await
+            }
+            ConfigSource::Store => match self.client.configuration(Freshness::Current).await {
+                Ok(update) => {
+                    log_unreadable(&update);
+                    update.configuration
+                }
+                Err(e) => {
+                    self.handle_failure(&e, now()).await;
+                    None
+                }
+            },
+        };
+        self.adopt_configuration(config);
+        if version > self.host.config_version() {
+            self.catch_up.record_failed(source, now());
+            Event::new("config_not_received")
+                .with("version", version)
+                .with("peer", peer)
+                .with("source", format!("{source:?}"))
+                .info();
+        }
+    }
+
     /// Applies changes that another host read, unless this host has not loaded the searchers yet.
     fn apply_update(&mut self, update: StoreUpdate) {
         if self.revision == 0 {
@@ -223,12 +288,13 @@
     }
 
     /// Adopts a configuration if there is one and it is newer than the current one.
-    fn adopt_configuration(&self, config: Option<Configuration>) {
+    fn adopt_configuration(&mut self, config: Option<Configuration>) {
         let Some(config) = config else {
             return;
         };
         let version = config.version;
         if self.host.adopt_config(config) {
+            self.catch_up.record_caught_up();
             Event::new("config_adopted").with("version", version).info();
         }
     }
--- a/crates/policy/src/gathering/aggregators.rs
+++ b/crates/policy/src/gathering/aggregators.rs
@@ -12,8 +12,10 @@
 use crate::ids::HostId;
 use crate::membership::FULL_CORE_CAPACITY;
 
-/// Least share of a zone's total capacity that its aggregators have together.
-const MIN_CAPACITY_SHARE: f64 = 0.25;
+/// Least capacity that the aggregators of a zone have together, if the zone has that much. A sum,
+/// and not a share of the zone, so that a host of another zone that knows only the aggregators
+/// selects the same ones.
+const MIN_CAPACITY: u64 = FULL_CORE_CAPACITY as u64;
 
 /// Fewest aggregators of a zone, so that after two failures a query is still shared between two.
 const MIN_AGGREGATORS: usize = 4;
@@ -21,6 +23,10 @@
 /// Fewest shards for which a call to another host is worthwhile.
 pub const MIN_GROUP_SHARDS: usize = 3;
 
+/// A host queries all shards of a query itself only if that takes at most the time until the
+/// objective divided by this.
+const MAX_BUSY_DIVISOR: u32 = 4;
+
 /// Processor time for sending a query to another host and reading its reply, on a full core.
 const GROUP_QUERY_COST: Duration = Duration::from_micros(250);
 
@@ -40,15 +46,13 @@
 /// depends only on the set of hosts, so that hosts with the same member table select the same ones.
 pub fn select_aggregators(mut hosts: Vec<(HostId, Capacity)>) -> Vec<HostId> {
     hosts.sort_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(&b.0)));
-    let total: u64 = hosts.iter().map(|(_, capacity)| u64::from(*capacity)).sum();
-    let min_capacity = total as f64 * MIN_CAPACITY_SHARE;
-    let mut selected_capacity = 0.0;
+    let mut selected_capacity = 0;
     let mut aggregators = Vec::new();
     for (host, capacity) in hosts {
-        if aggregators.len() >= MIN_AGGREGATORS && selected_capacity >= min_capacity {
+        if aggregators.len() >= MIN_AGGREGATORS && selected_capacity >= MIN_CAPACITY {
             break;
         }
-        selected_capacity += f64::from(capacity);
+        selected_capacity += u64::from(capacity);
         aggregators.push(host);
     }
     aggregators
@@ -100,6 +104,24 @@
     counts
 }
 
+/// Returns the time in which an aggregator is expected to answer a group of shards whose searchers
+/// take `searcher_latency`.
+pub fn expected_group_time(
+    shards: usize,
+    capacity: Capacity,
+    searcher_latency: Duration,
+) -> Duration {
+    let cost = GROUP_QUERY_COST + PART_QUERY_COST * shards as u32;
+    scale_to_capacity(cost, capacity) + searcher_latency
+}
+
+/// Returns whether a host queries the shards of a wide query together with other hosts although the
+/// searchers accept enough connections: if it alone would be busy for a large part of `time_left`,
+/// the time until the objective.
+pub fn is_too_wide(shards: usize, own: Capacity, time_left: Duration) -> bool {
+    scale_to_capacity(PART_QUERY_COST * shards as u32, own) > time_left / MAX_BUSY_DIVISOR
+}
+
 /// Returns the time that a host of capacity `own` needs to merge and write an answer from `parts`
 /// parts that searchers sent to it directly and the replies of `groups` other hosts.
 pub fn answer_processing_time(own: Capacity, parts: usize, groups: usize) -> Duration {
--- a/crates/policy/src/gathering/mod.rs
+++ b/crates/policy/src/gathering/mod.rs
@@ -11,6 +11,8 @@
 pub use aggregators::MIN_GROUP_SHARDS;
 pub use aggregators::answer_processing_time;
 pub use aggregators::distribute_shards;
+pub use aggregators::expected_group_time;
+pub use aggregators::is_too_wide;
 pub use aggregators::select_aggregators;
 pub use selection::select_shards;
 pub use top_records::TopRecords;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod attempt;
 pub mod catalogue;
+pub mod catch_up;
 pub mod directory;
 pub mod gathering;
 pub mod heartbeat;
--- a/crates/policy/src/membership/table.rs
+++ b/crates/policy/src/membership/table.rs
@@ -149,12 +149,22 @@
     /// Returns the next host to probe, in round-robin order. Dead hosts are included, so that the
     /// end of a network partition is noticed.
     pub fn next_probe(&mut self) -> Option<HostFact> {
+        self.next_probe_where(|_| true)
+    }
+
+    /// Returns the next host to probe among those whose fact `is_target` accepts.
+    pub fn next_probe_where(&mut self, is_target: impl Fn(&HostFact) -> bool) -> Option<HostFact> {
         let count = self.members.len();
-        if count == 0 {
-            return None;
-        }
-        self.probe_cursor = (self.probe_cursor + 1) % count;
-        self.members.values().nth(self.probe_cursor).map(|m| m.fact.clone())
+        let facts = self.members.values().map(|m| &m.fact);
+        let (offset, target) = facts
+            .cycle()
+            .skip(self.probe_cursor + 1)
+            .take(count)
+            .enumerate()
+            .find(|(_, fact)| is_target(fact))?;
+        let target = target.clone();
+        self.probe_cursor = (self.probe_cursor + 1 + offset) % count;
+        Some(target)
     }
 
     /// Returns up to `count` live hosts, other than `target`, for an indirect probe of `target`.
@@ -169,10 +179,16 @@
     /// Returns the facts for the next message, starting with the host's own. Facts with the
     /// most remaining sends come first.
     pub fn gossip(&mut self) -> Vec<HostFact> {
+        self.gossip_where(|_| true)
+    }
+
+    /// Returns the facts for the next message, starting with the host's own, where the others are
+    /// limited to those that `is_sent` accepts.
+    pub fn gossip_where(&mut self, is_sent: impl Fn(&HostFact) -> bool) -> Vec<HostFact> {
         self.own_sends_left = self.own_sends_left.saturating_sub(1);
         let mut facts = vec![self.own.clone()];
-        let mut unsent: Vec<&mut Member> =
-            self.members.values_mut().filter(|m| m.sends_left > 0).collect();
+        let is_due = |m: &&mut Member| m.sends_left > 0 && is_sent(&m.fact);
+        let mut unsent: Vec<&mut Member> = self.members.values_mut().filter(is_due).collect();
         unsent.sort_by_key(|m| std::cmp::Reverse(m.sends_left));
         for member in unsent.into_iter().take(MAX_FACTS - 1) {
             member.sends_left -= 1;
