--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use galenaloft_policy::ids::ZoneId;
+use galenaloft_policy::membership::ALL_FACTS_ROUNDS;
 use galenaloft_policy::membership::HostFact;
 use galenaloft_policy::membership::HostState;
 use galenaloft_runtime::clock::now;
@@ -33,6 +34,9 @@
 /// Largest datagram, in bytes: somewhat below the largest UDP payload.
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 
+/// Most changes of the store in one datagram: about 15 KB.
+const MAX_CHANGES: usize = 100;
+
 /// Most facts in one datagram, so that it takes only a few packets of the usual size.
 const MAX_FACTS: usize = 32;
 
@@ -90,14 +94,14 @@
         Purpose::Probe { wants_all } => {
             let facts = match &zone {
                 Some(zone) if wants_all => host.peers.all_facts_for(zone),
-                zone => host.peers.gossip_for(zone.as_ref()),
+                zone => host.peers.gossip_for(zone.as_ref(), now()),
             };
             for facts in facts.chunks(MAX_FACTS) {
                 send(host, socket, sender, facts.to_vec(), Purpose::Reply).await;
             }
         }
         Purpose::Ping => {
-            send(host, socket, sender, host.peers.gossip_for(None), Purpose::Reply).await;
+            send(host, socket, sender, host.peers.gossip_for(None, now()), Purpose::Reply).await;
         }
         Purpose::Reply => {}
         Purpose::StoreUpdate(update) => {
@@ -125,7 +129,7 @@
     loop {
         ticks.tick().await;
         log_changes(lock(&host.peers.table).expire(now()));
-        host.peers.update_zone_gossip();
+        host.peers.update_zone_gossip(now());
         host.update_sharing_hosts(now());
         check_cut_off(&host);
         for (target, sent) in std::mem::take(&mut last_probes) {
@@ -140,12 +144,13 @@
         for address in host.peers.silent_zone_targets(now()) {
             send(&host, &socket, address, Vec::new(), Purpose::Ping).await;
         }
-        let own_zone_target = host.peers.next_probe(false);
-        let probes_other_zones = round.is_multiple_of(2) && host.peers.zone_gossip().is_some();
-        let other_zone_target = probes_other_zones.then(|| host.peers.next_probe(true)).flatten();
+        let own_zone_target = host.peers.next_probe();
+        let probes_other_zones = round.is_multiple_of(2);
+        let other_zone_target =
+            probes_other_zones.then(|| host.peers.next_other_zone_probe()).flatten();
         for target in own_zone_target.into_iter().chain(other_zone_target) {
             // In its first rounds a host asks for everything, to learn the membership after its start.
-            let wants_all = round <= SEED_PROBE_ROUNDS;
+            let wants_all = round <= ALL_FACTS_ROUNDS;
             let purpose = Purpose::Probe { wants_all };
             send_gossip(&host, &socket, target.address, Some(&target.zone), purpose).await;
             last_probes.push((target, now()));
@@ -170,12 +175,13 @@
     loop {
         host.peers.send_requested.notified().await;
         let update = host.peers.take_update();
+        let updates = update.map_or_else(Vec::new, |update| update.split(MAX_CHANGES));
         let crashes = host.peers.take_crashes();
         let forwarded = host.peers.take_forwarded_crashes();
-        let facts_only = update.is_none() && crashes.is_empty() && forwarded.is_empty();
+        let facts_only = updates.is_empty() && crashes.is_empty() && forwarded.is_empty();
         for (receiver, zone) in host.peers.update_receivers() {
             let zone = Some(&zone);
-            if let Some(update) = &update {
+            for update in &updates {
                 let purpose = Purpose::StoreUpdate(update.clone());
                 send_gossip(&host, &socket, receiver, zone, purpose).await;
             }
@@ -206,7 +212,7 @@
     zone: Option<&ZoneId>,
     purpose: Purpose,
 ) {
-    send(host, socket, to, host.peers.gossip_for(zone), purpose).await;
+    send(host, socket, to, host.peers.gossip_for(zone, now()), purpose).await;
 }
 
 /// Sends a datagram with the given facts; a failure is only logged.
--- a/crates/edge/src/peers/members.rs
+++ b/crates/edge/src/peers/members.rs
@@ -69,6 +69,10 @@
     zone_sizes: Mutex<BTreeMap<ZoneId, (u32, Instant)>>,
     /// Configured peer addresses; each is probed until a host is known at it.
     seeds: Mutex<Vec<SocketAddr>>,
+    /// Position of the host of the own zone that was probed last.
+    own_zone_cursor: Mutex<usize>,
+    /// Position of the host of another zone that was probed last.
+    other_zones_cursor: Mutex<usize>,
     /// Store update that is not sent yet.
     pending_update: Mutex<Option<StoreUpdate>>,
     /// Crashes that are not sent yet.
@@ -100,6 +104,9 @@
             zone_gossip: Mutex::default(),
             zone_sizes: Mutex::default(),
             seeds: Mutex::new(seed_addresses(settings)),
+            // Its low bits are random, so that hosts that start together probe different ones.
+            own_zone_cursor: Mutex::new(incarnation as usize & 0xffff),
+            other_zones_cursor: Mutex::new(incarnation as usize & 0xffff),
             pending_update: Mutex::new(None),
             pending_crashes: Mutex::default(),
             forwarded_crashes: Mutex::default(),
@@ -168,10 +175,18 @@
         targets
     }
 
-    /// Recomputes how gossip is divided by zones.
-    pub fn update_zone_gossip(&self) {
-        let zone_gossip = ZoneGossip::new(&lock(&self.table)).map(Arc::new);
-        *lock(&self.zone_gossip) = zone_gossip;
+    /// Recomputes how gossip is divided by zones, and forgets hosts of other zones that this host
+    /// need not know.
+    pub fn update_zone_gossip(&self, now: Instant) {
+        let mut table = lock(&self.table);
+        let is_active =
+            |fact: &&HostFact| matches!(fact.state, HostState::Alive | HostState::Suspect);
+        let fleet_hosts = self.count_hosts(&table, is_active, now);
+        let zone_gossip = ZoneGossip::new(&table, fleet_hosts);
+        if let Some(zones) = &zone_gossip {
+            table.retain(|fact| zones.is_kept(fact));
+        }
+        *lock(&self.zone_gossip) = zone_gossip.map(Arc::new);
     }
 
     /// Returns how gossip is divided by zones, or `None` in a small fleet.
@@ -179,13 +194,15 @@
         lock(&self.zone_gossip).clone()
     }
 
-    /// Returns the facts to pass on next to a host, of which `None` or an unknown one counts as a
-    /// host of another zone.
-    pub fn gossip_for(&self, zone: Option<&ZoneId>) -> Vec<HostFact> {
+    /// Returns the facts to pass on next to a host of that zone, where `None` is an unknown one.
+    pub fn gossip_for(&self, zone: Option<&ZoneId>, now: Instant) -> Vec<HostFact> {
         let mut table = lock(&self.table);
         match (self.zone_gossip(), zone) {
             (None, _) => table.gossip(),
-            (Some(zones), Some(zone)) => table.gossip_where(|fact| zones.is_sent_to(zone, fact)),
+            (Some(zones), Some(zone)) if *zone != table.own().zone => {
+                zones.facts_for_other_zone(&table, zone, now)
+            }
+            (Some(zones), Some(_)) => table.gossip_where(|fact| zones.is_kept(fact)),
             (Some(_), None) => vec![table.own().clone()],
         }
     }
@@ -195,27 +212,34 @@
         let table = lock(&self.table);
         let mut facts = table.all_facts();
         if let Some(zones) = self.zone_gossip() {
-            let own = table.own().host.clone();
-            facts.retain(|fact| {
-                fact.host == own || fact.zone == *zone || zones.is_sent_to(zone, fact)
-            });
+            facts.retain(|fact| fact.zone == *zone || zones.is_representative(&fact.host));
+            if !facts.iter().any(|fact| fact.host == table.own().host) {
+                facts.insert(0, table.own().clone());
+            }
         }
         facts
     }
 
-    /// Returns the next host to probe. In a large fleet a host probes the hosts of its own zone; in
-    /// `other_zones` rounds, a representative probes those of other zones.
-    pub fn next_probe(&self, other_zones: bool) -> Option<HostFact> {
+    /// Returns the next host of this host's zone to probe, or in a small fleet of any zone.
+    pub fn next_probe(&self) -> Option<HostFact> {
         let mut table = lock(&self.table);
-        let own = table.own().clone();
+        let own_zone = table.own().zone.clone();
         match self.zone_gossip() {
             None => table.next_probe(),
-            Some(zones) => table.next_probe_where(|fact| {
-                (fact.zone != own.zone) == other_zones && zones.is_probed(&own.host, fact)
-            }),
+            Some(_) => table
+                .next_probe_after(&mut lock(&self.own_zone_cursor), |fact| fact.zone == own_zone),
         }
     }
 
+    /// Returns the next host of another zone to probe, or `None` unless this host is a
+    /// representative in a large fleet.
+    pub fn next_other_zone_probe(&self) -> Option<HostFact> {
+        let table = lock(&self.table);
+        let zones = self.zone_gossip()?;
+        let is_target = |fact: &HostFact| zones.is_probed_across_zones(table.own(), fact);
+        table.next_probe_after(&mut lock(&self.other_zones_cursor), is_target)
+    }
+
     /// Returns whether this host gossips with hosts of other zones.
     pub fn speaks_for_zone(&self) -> bool {
         let own = lock(&self.table).own().host.clone();
@@ -250,9 +274,12 @@
         lock(&self.table).facts().count()
     }
 
-    /// Returns the seeds at whose address no host is known.
+    /// Returns the seeds at whose address no host is known, as long as this host needs them.
     pub fn unknown_seeds(&self) -> Vec<SocketAddr> {
         let table = lock(&self.table);
+        if self.zone_gossip().is_some_and(|zones| zones.is_connected(&table)) {
+            return Vec::new();
+        }
         let known = |seed: &&SocketAddr| table.facts().any(|fact| fact.address == **seed);
         lock(&self.seeds).iter().filter(|seed| !known(seed)).copied().collect()
     }
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -62,6 +62,26 @@
     pub returned_ago: Option<Duration>,
 }
 
+impl StoreUpdate {
+    /// Splits the update into consecutive ones of at most `max_changes` changes, so that each fits
+    /// into a datagram.
+    pub fn split(self, max_changes: usize) -> Vec<Self> {
+        let mut after = self.after;
+        let mut updates: Vec<Self> = Vec::new();
+        for changes in self.changes.chunks(max_changes) {
+            let revision = changes.last().map_or(after, |change| change.revision.max(after));
+            let returned_ago = self.returned_ago;
+            updates.push(Self { after, revision, changes: changes.to_vec(), returned_ago });
+            after = revision;
+        }
+        match updates.last_mut() {
+            Some(last) => last.revision = self.revision,
+            None => updates.push(self),
+        }
+        updates
+    }
+}
+
 /// Everything that a host knows of the store's content. Hosts that cannot read the store request
 /// it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -130,3 +150,6 @@
     /// was sent to: none if it was left out.
     pub missing: Vec<(u32, Vec<SearcherId>)>,
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/edge/src/peers/messages/tests.rs
@@ -0,0 +1,39 @@
+use galenaloft_policy::directory::Change;
+
+use super::*;
+
+fn update(after: StoreRevision, revisions: impl Iterator<Item = StoreRevision>) -> StoreUpdate {
+    let change = |revision| {
+        let change = Change::Removed(format!("s{revision}").into());
+        RevisionedChange { change, revision }
+    };
+    let changes: Vec<RevisionedChange> = revisions.map(change).collect();
+    StoreUpdate { after, revision: 4_000, changes, returned_ago: None }
+}
+
+/// A repartition of a large index changes thousands of entries within a second.
+#[test]
+fn a_large_update_is_split_into_consecutive_ones_that_fit_into_datagrams() {
+    let whole = update(1_000, (1_001..4_000).step_by(2));
+    let parts = whole.clone().split(100);
+    assert_eq!(parts.len(), 15);
+    let mut after = whole.after;
+    for part in &parts {
+        assert_eq!(part.after, after);
+        after = part.revision;
+        let in_range =
+            |change: &RevisionedChange| (part.after + 1..=part.revision).contains(&change.revision);
+        assert!(part.changes.iter().all(in_range));
+        assert!(bincode::serialize(part).unwrap().len() < 20 * 1024);
+    }
+    assert_eq!(after, whole.revision);
+    let changes: Vec<RevisionedChange> = parts.into_iter().flat_map(|part| part.changes).collect();
+    assert_eq!(changes, whole.changes);
+}
+
+#[test]
+fn an_update_without_changes_is_still_sent() {
+    let parts = update(1_000, std::iter::empty()).split(100);
+    assert_eq!(parts.len(), 1);
+    assert_eq!((parts[0].after, parts[0].revision), (1_000, 4_000));
+}
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -264,9 +264,12 @@
         }
     }
 
-    /// Sends the request to a second searcher if the budget allows it.
+    /// Sends the request to a second searcher if that is still of use and the budget allows it.
     fn hedge(&mut self) {
         self.hedge_at = None;
+        if !self.may_hedge() {
+            return;
+        }
         let now = now();
         if !lock(&self.service.budget).allows(&self.extra_share(), RETRY_RESERVE, now) {
             return;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,6 +1,9 @@
 //! One client connection.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +14,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::client::conn::http1;
+use hyper::ext::on_informational;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HOST;
 use hyper::header::IF_NONE_MATCH;
@@ -18,6 +22,7 @@
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
@@ -38,6 +43,35 @@
 /// How long written bytes may stay unacknowledged before the connection counts as lost.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
 
+/// Most interim answers (1xx) before an answer.
+const MAX_INTERIM_ANSWERS: u32 = 16;
+
+/// The interim answers to one request.
+#[derive(Debug, Default)]
+struct InterimAnswers {
+    count: AtomicU32,
+    too_many: Notify,
+}
+
+impl InterimAnswers {
+    /// Counts the interim answers to a request that is about to be sent.
+    fn count_on(req: &mut Request<Full<Bytes>>) -> Arc<Self> {
+        let answers = Arc::new(Self::default());
+        let counted = answers.clone();
+        on_informational(req, move |_| {
+            if counted.count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_ANSWERS {
+                counted.too_many.notify_one();
+            }
+        });
+        answers
+    }
+
+    /// Returns once there are too many.
+    async fn too_many(&self) {
+        self.too_many.notified().await;
+    }
+}
+
 /// One HTTP/1.1 connection that carries one request at a time. Dropping it closes it at once.
 #[derive(Debug)]
 pub struct Connection {
@@ -114,10 +148,19 @@
     /// Sends a prepared request and reads the whole reply.
     pub async fn send_request(
         &mut self,
-        req: Request<Full<Bytes>>,
+        mut req: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, HttpError> {
         self.sender.ready().await.map_err(|e| HttpError::NotSent(e.to_string()))?;
-        let reply = self.sender.try_send_request(req).await.map_err(|mut e| {
+        let interim_answers = InterimAnswers::count_on(&mut req);
+        let reply = tokio::select! {
+            biased;
+            () = interim_answers.too_many() => {
+                let why = format!("more than {MAX_INTERIM_ANSWERS} interim answers");
+                return Err(HttpError::Lost(why));
+            }
+            reply = self.sender.try_send_request(req) => reply,
+        };
+        let reply = reply.map_err(|mut e| {
             let unsent = e.take_message().is_some();
             let why = e.into_error().to_string();
             if unsent { HttpError::NotSent(why) } else { HttpError::Lost(why) }
--- a/crates/policy/src/membership/mod.rs
+++ b/crates/policy/src/membership/mod.rs
@@ -11,5 +11,6 @@
 pub use fact::HostState;
 pub use table::MemberTable;
 pub use table::StateChange;
+pub use zones::ALL_FACTS_ROUNDS;
 pub use zones::MAX_HOSTS_WITHOUT_ZONES;
 pub use zones::ZoneGossip;
--- a/crates/policy/src/membership/table.rs
+++ b/crates/policy/src/membership/table.rs
@@ -149,22 +149,25 @@
     /// Returns the next host to probe, in round-robin order. Dead hosts are included, so that the
     /// end of a network partition is noticed.
     pub fn next_probe(&mut self) -> Option<HostFact> {
-        self.next_probe_where(|_| true)
+        let mut cursor = self.probe_cursor;
+        let target = self.next_probe_after(&mut cursor, |_| true);
+        self.probe_cursor = cursor;
+        target
     }
 
-    /// Returns the next host to probe among those whose fact `is_target` accepts.
-    pub fn next_probe_where(&mut self, is_target: impl Fn(&HostFact) -> bool) -> Option<HostFact> {
+    /// Returns the next host to probe after the position `cursor`, which is moved there, among those
+    /// whose fact `is_target` accepts.
+    pub fn next_probe_after(
+        &self,
+        cursor: &mut usize,
+        is_target: impl Fn(&HostFact) -> bool,
+    ) -> Option<HostFact> {
         let count = self.members.len();
         let facts = self.members.values().map(|m| &m.fact);
-        let (offset, target) = facts
-            .cycle()
-            .skip(self.probe_cursor + 1)
-            .take(count)
-            .enumerate()
-            .find(|(_, fact)| is_target(fact))?;
-        let target = target.clone();
-        self.probe_cursor = (self.probe_cursor + 1 + offset) % count;
-        Some(target)
+        let after = facts.cycle().skip(*cursor + 1).take(count);
+        let (offset, target) = after.enumerate().find(|(_, fact)| is_target(fact))?;
+        *cursor = (*cursor + 1 + offset) % count;
+        Some(target.clone())
     }
 
     /// Returns up to `count` live hosts, other than `target`, for an indirect probe of `target`.
@@ -197,6 +200,21 @@
         facts
     }
 
+    /// Returns the facts about other hosts that were learned within the last `max_age`.
+    pub fn facts_learned_within(
+        &self,
+        max_age: Duration,
+        now: Instant,
+    ) -> impl Iterator<Item = &HostFact> {
+        let is_recent = move |m: &&Member| now.saturating_duration_since(m.learned_at) <= max_age;
+        self.members.values().filter(is_recent).map(|m| &m.fact)
+    }
+
+    /// Removes the other hosts whose fact `is_kept` does not accept.
+    pub fn retain(&mut self, is_kept: impl Fn(&HostFact) -> bool) {
+        self.members.retain(|_, member| is_kept(&member.fact));
+    }
+
     /// Returns all facts, which are sent to a host that has just started.
     pub fn all_facts(&self) -> Vec<HostFact> {
         let other_facts = self.members.values().map(|m| m.fact.clone());
@@ -205,7 +223,7 @@
 
     /// Returns the hosts that may own searchers, which are those that are alive or suspected. This
     /// host is included unless it is leaving.
-    pub fn active(&self) -> impl Iterator<Item = &HostFact> {
+    pub fn active(&self) -> impl Iterator<Item = &HostFact> + Clone {
         std::iter::once(&self.own)
             .chain(self.members.values().map(|m| &m.fact))
             .filter(|f| matches!(f.state, HostState::Alive | HostState::Suspect))
--- a/crates/policy/src/membership/zones.rs
+++ b/crates/policy/src/membership/zones.rs
@@ -7,6 +7,8 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::gathering::select_aggregators;
 use crate::ids::Capacity;
@@ -19,6 +21,16 @@
 /// Most hosts of a fleet in which every host gossips with every other one.
 pub const MAX_HOSTS_WITHOUT_ZONES: usize = 16;
 
+/// Number of probe rounds after its start in which a host asks for all facts that the others know.
+pub const ALL_FACTS_ROUNDS: u32 = 15;
+
+/// How long the departure of a representative is reported to other zones. Each of its zone's
+/// representatives sends messages to all zones in that time.
+const DEPARTURE_REPORT_TIME: Duration = Duration::from_secs(10);
+
+/// Most departures in one message to another zone.
+const MAX_DEPARTURES: usize = 8;
+
 /// The representatives of each zone, as seen from one host of a large fleet.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ZoneGossip {
@@ -30,9 +42,9 @@
 
 impl ZoneGossip {
     /// Returns how gossip is divided by zones, or `None` in a fleet that is small enough for every
-    /// host to gossip with all others.
-    pub fn new(table: &MemberTable) -> Option<Self> {
-        if table.active().count() <= MAX_HOSTS_WITHOUT_ZONES {
+    /// host to gossip with all others. `fleet_hosts` is the number of hosts of all zones.
+    pub fn new(table: &MemberTable, fleet_hosts: usize) -> Option<Self> {
+        if fleet_hosts <= MAX_HOSTS_WITHOUT_ZONES {
             return None;
         }
         let mut zones: BTreeMap<&ZoneId, Vec<(HostId, Capacity)>> = BTreeMap::new();
@@ -53,24 +65,60 @@
         self.representatives.contains(host)
     }
 
-    /// Returns whether a fact is sent to the hosts of a zone. A zone learns of all its own hosts and
-    /// of the representatives of the others, also of those that have departed. Another zone learns
-    /// which of its hosts seem to have failed, so that they can refute it.
-    pub fn is_sent_to(&self, zone: &ZoneId, fact: &HostFact) -> bool {
-        if *zone == fact.zone {
-            return *zone == self.own_zone || fact.state != HostState::Alive;
-        }
-        let was_representative = fact.zone == self.own_zone
-            && fact.state != HostState::Alive
-            && fact.capacity >= self.min_capacity;
-        self.is_representative(&fact.host) || was_representative
+    /// Returns whether the host knows others in its own zone and in other zones, so that it needs no
+    /// seeds. Seeds that are no representatives are not kept.
+    pub fn is_connected(&self, table: &MemberTable) -> bool {
+        let own = table.own();
+        let mut others = table.active().filter(|fact| fact.host != own.host);
+        let in_own_zone = others.clone().any(|fact| fact.zone == self.own_zone);
+        in_own_zone && others.any(|fact| fact.zone != self.own_zone)
+    }
+
+    /// Returns whether a host needs to know of another one, to which `fact` applies: of all hosts of
+    /// its own zone, and of the representatives of the others.
+    pub fn is_kept(&self, fact: &HostFact) -> bool {
+        let departed = matches!(fact.state, HostState::Dead | HostState::Leaving);
+        fact.zone == self.own_zone || self.is_representative(&fact.host) || departed
     }
 
-    /// Returns whether this host, `own`, probes another one in turn and suspects it if it does not
-    /// answer. The end of a partition is noticed by probes of representatives that seem dead.
-    pub fn is_probed(&self, own: &HostId, fact: &HostFact) -> bool {
+    /// Returns the facts for a message to a host of another zone, starting with the host's own:
+    /// the representatives of this zone, those that departed lately, and those of the receiver's
+    /// zone that seem to have failed, so that they can refute it.
+    pub fn facts_for_other_zone(
+        &self,
+        table: &MemberTable,
+        zone: &ZoneId,
+        now: Instant,
+    ) -> Vec<HostFact> {
+        let own = table.own();
+        let representatives = table.active().filter(|fact| {
+            fact.zone == self.own_zone
+                && fact.host != own.host
+                && self.is_representative(&fact.host)
+        });
+        let recent = table.facts_learned_within(DEPARTURE_REPORT_TIME, now);
+        let departed = recent.filter(|fact| match fact.state {
+            HostState::Alive => false,
+            HostState::Suspect => fact.zone == *zone,
+            HostState::Dead | HostState::Leaving => {
+                fact.zone == *zone
+                    || (fact.zone == self.own_zone && fact.capacity >= self.min_capacity)
+            }
+        });
+        let others = representatives.chain(departed.take(MAX_DEPARTURES)).cloned();
+        std::iter::once(own.clone()).chain(others).collect()
+    }
+
+    /// Returns whether this host, `own`, probes the host of `fact` in another zone in turn, and
+    /// suspects it if it does not answer. Representatives that seem dead are probed too, so that the
+    /// end of a partition is noticed.
+    pub fn is_probed_across_zones(&self, own: &HostFact, fact: &HostFact) -> bool {
         let departed = matches!(fact.state, HostState::Dead | HostState::Leaving);
-        fact.zone == self.own_zone
-            || (self.is_representative(own) && (self.is_representative(&fact.host) || departed))
+        fact.zone != self.own_zone
+            && self.is_representative(&own.host)
+            && (self.is_representative(&fact.host) || departed)
     }
 }
+
+#[cfg(test)]
+mod tests;
