Ask again for parts that an aggregator missed, pace large updates of the store

Cause: an aggregator without any part answered nothing, so that the coordinator did not know which searchers were tried and gave up with a second of the deadline left; a large update was sent to 60 hosts at once, more than the link of the sender carries, and each host that lost a datagram read the store itself. Change: an aggregator always says what is missing; a change that the searcher superseded is not sent; 50 ms between the datagrams of one update. Test that failed first: parts_that_an_aggregator_missed_are_asked_again_while_time_is_left (502 for 200).

--- a/bin/galenaloft-edge/tests/edge/changes.rs
+++ b/bin/galenaloft-edge/tests/edge/changes.rs
@@ -245,6 +245,24 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn parts_that_an_aggregator_missed_are_asked_again_while_time_is_left() {
+    let layout = Layout { replicas: 3, ..two_zones() };
+    let platform = Scene::start(&layout).await.unwrap();
+    let _aggregator = Edge::start_ready(&platform, "a", 1, 28350).await;
+    let edge = Edge::start_ready(&platform, "c", 2, 28350).await;
+    // Until the hosts know each other.
+    sleep(1_500 * MS).await;
+    for _ in 0..5 {
+        edge.get(GATHER_PATH).await;
+    }
+    // The aggregator answers before the objective without these parts, and there are more searchers
+    // than attempts.
+    platform.shards.iter().flatten().for_each(|searcher| searcher.set_work(200 * MS));
+    // One query, since the budget of extra requests of this small cluster allows no more.
+    assert_eq!(edge.get(GATHER_PATH).await.status, 200);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn every_host_drops_a_searcher_that_left_during_a_store_outage() {
     let platform = start_platform().await;
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -37,6 +37,10 @@
 /// Most changes of the store in one datagram: about 15 KB.
 const MAX_CHANGES: usize = 100;
 
+/// Pause between the datagrams of a large update, so that the link of a small host carries them to
+/// all hosts of its zone without loss.
+const UPDATE_PAUSE: Duration = Duration::from_millis(50);
+
 /// Most facts in one datagram, so that it takes only a few packets of the usual size.
 const MAX_FACTS: usize = 32;
 
@@ -179,12 +183,18 @@
         let crashes = host.peers.take_crashes();
         let forwarded = host.peers.take_forwarded_crashes();
         let facts_only = updates.is_empty() && crashes.is_empty() && forwarded.is_empty();
-        for (receiver, zone) in host.peers.update_receivers() {
-            let zone = Some(&zone);
-            for update in &updates {
+        let receivers = host.peers.update_receivers();
+        for (position, update) in updates.iter().enumerate() {
+            if position > 0 {
+                tokio::time::sleep(UPDATE_PAUSE).await;
+            }
+            for (receiver, zone) in &receivers {
                 let purpose = Purpose::StoreUpdate(update.clone());
-                send_gossip(&host, &socket, receiver, zone, purpose).await;
+                send_gossip(&host, &socket, *receiver, Some(zone), purpose).await;
             }
+        }
+        for (receiver, zone) in receivers {
+            let zone = Some(&zone);
             for crash in crashes.iter().chain(&forwarded) {
                 send_gossip(&host, &socket, receiver, zone, Purpose::Crash(crash.clone())).await;
             }
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -1,7 +1,9 @@
 //! Messages between edge hosts. Only galenaloft-edge sends and receives them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use galenaloft_policy::directory::Change;
 use galenaloft_policy::directory::RevisionedChange;
 use galenaloft_policy::ids::ConfigVersion;
 use galenaloft_policy::ids::Rank;
@@ -64,8 +66,10 @@
 
 impl StoreUpdate {
     /// Splits the update into consecutive ones of at most `max_changes` changes, so that each fits
-    /// into a datagram.
-    pub fn split(self, max_changes: usize) -> Vec<Self> {
+    /// into a datagram. A change is left out if the
+    /// searcher wrote its entry again later.
+    pub fn split(mut self, max_changes: usize) -> Vec<Self> {
+        self.drop_superseded();
         let mut after = self.after;
         let mut updates: Vec<Self> = Vec::new();
         for changes in self.changes.chunks(max_changes) {
@@ -80,6 +84,22 @@
         }
         updates
     }
+
+    fn drop_superseded(&mut self) {
+        let mut rewritten: BTreeMap<SearcherId, StoreRevision> = BTreeMap::new();
+        for RevisionedChange { change, revision } in &self.changes {
+            if let Change::Written(entry) = change {
+                rewritten.insert(entry.id.clone(), *revision);
+            }
+        }
+        self.changes.retain(|RevisionedChange { change, revision }| {
+            let searcher = match change {
+                Change::Written(entry) => &entry.id,
+                Change::Removed(id) => id,
+            };
+            rewritten.get(searcher).is_none_or(|last| revision >= last)
+        });
+    }
 }
 
 /// Everything that a host knows of the store's content. Hosts that cannot read the store request
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -153,7 +153,7 @@
                 health.record_answer(&route.name, latency, ended_at);
                 Ok(reply)
             }
-            Ok(Ok(None)) => Err(GroupFailure::MayHaveRun("the peer returned no answers")),
+            Ok(Ok(None)) => Err(GroupFailure::NotRun("the peer cannot handle the query")),
             Ok(Err(_)) => {
                 health.record_failure(ended_at);
                 lock(&self.clients).remove(&relay.address);
--- a/crates/edge/src/peers/service.rs
+++ b/crates/edge/src/peers/service.rs
@@ -27,7 +27,7 @@
 #[tarpc::service]
 pub trait EdgePeer {
     /// Asks the searchers of a group of shards and merges their answers. Returns `None` if the
-    /// query is malformed, no configuration is known or no shard answered in time.
+    /// query is malformed or no configuration is known.
     async fn gather(query: GroupQuery) -> Option<GroupReply>;
 
     /// Returns what the host knows of the store, or `None` before it knows anything.
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -246,7 +246,7 @@
 }
 
 /// Answers, as an aggregator, another host's query over a group of shards. Returns `None` if the
-/// request cannot be decoded, this host has no configuration or no shard answered.
+/// request cannot be decoded or this host has no configuration.
 pub async fn answer_group(host: &Arc<Host>, query: GroupQuery) -> Option<GroupReply> {
     let arrived_at = now();
     let inbound = CallerRequest::from_parts(
@@ -281,5 +281,5 @@
     // shards. With less than half of this group it is assumed to miss its coverage floor, so
     // waiting for more is worthwhile.
     scatter_gather.collect(&wait_policy, gather.shards.len().div_ceil(2)).await;
-    (scatter_gather.received_parts() > 0).then(|| scatter_gather.finish_group())
+    Some(scatter_gather.finish_group())
 }
