--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -58,7 +58,8 @@
 }
 
 /// Groups the shards that are not queried directly: those without a healthy searcher in this host's
-/// zone, and in a large fleet those that are left to the aggregators of this zone.
+/// zone, and others that are left to the aggregators of this zone, in a large fleet or if the query
+/// is too wide for this host.
 pub fn group_shards(
     host: &Host,
     request: &RoutedRequest,
@@ -108,7 +109,8 @@
     groups
 }
 
-/// Groups the shards that have no healthy searcher in this host's zone by a zone that has one.
+/// Distributes the shards that have no healthy searcher in this host's zone among the aggregators of
+/// the zones that have one for most of them.
 /// Groups of less than [`MIN_GROUP_SHARDS`] shards are not formed.
 fn other_zone_groups(
     host: &Host,
