One type for an aggregator, one test of an active host state

Relay had become a copy of Aggregator; whether a host state is active stood in five places; two stop tests differed only in when they send half a request. No behaviour, bound or assertion changed.

--- a/crates/edge/src/peers/members.rs
+++ b/crates/edge/src/peers/members.rs
@@ -179,8 +179,7 @@
     /// need not know.
     pub fn update_zone_gossip(&self, now: Instant) {
         let mut table = lock(&self.table);
-        let is_active =
-            |fact: &&HostFact| matches!(fact.state, HostState::Alive | HostState::Suspect);
+        let is_active = |fact: &&HostFact| fact.state.is_active();
         let fleet_hosts = self.count_hosts(&table, is_active, now);
         let zone_gossip = ZoneGossip::new(&table, fleet_hosts);
         if let Some(zones) = &zone_gossip {
@@ -293,10 +292,7 @@
         let recently_heard = |host: &HostId| {
             heard.get(host).is_some_and(|at| now.saturating_duration_since(*at) < HOST_TTL)
         };
-        let is_counted = |fact: &&HostFact| {
-            matches!(fact.state, HostState::Alive | HostState::Suspect)
-                || recently_heard(&fact.host)
-        };
+        let is_counted = |fact: &&HostFact| fact.state.is_active() || recently_heard(&fact.host);
         let all = self.count_hosts(&table, is_counted, now).max(MIN_ASSUMED_HOSTS);
         let mut zones: BTreeMap<&ZoneId, Vec<(HostId, Capacity)>> = BTreeMap::new();
         for fact in table.active() {
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -66,8 +66,7 @@
 
 impl StoreUpdate {
     /// Splits the update into consecutive ones of at most `max_changes` changes, so that each fits
-    /// into a datagram. A change is left out if the
-    /// searcher wrote its entry again later.
+    /// into a datagram. A change is left out if the searcher wrote its entry again later.
     pub fn split(mut self, max_changes: usize) -> Vec<Self> {
         self.drop_superseded();
         let mut after = self.after;
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -17,6 +17,5 @@
 pub use messages::StoreUpdate;
 pub use messages::StoreView;
 pub use relay::GroupFailure;
-pub use relay::Relay;
 pub use relay::Relays;
 pub use service::serve;
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -60,32 +60,6 @@
     MayHaveRun(&'static str),
 }
 
-/// The aggregator that was chosen to relay a query to the searchers.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Relay {
-    host: HostId,
-    address: SocketAddr,
-    capacity: Capacity,
-}
-
-impl Relay {
-    /// Returns the id of the host.
-    pub fn name(&self) -> &HostId {
-        &self.host
-    }
-
-    /// Returns the host's processor capacity.
-    pub fn capacity(&self) -> Capacity {
-        self.capacity
-    }
-}
-
-impl From<Aggregator> for Relay {
-    fn from(aggregator: Aggregator) -> Self {
-        Self { host: aggregator.host, address: aggregator.address, capacity: aggregator.capacity }
-    }
-}
-
 impl Relays {
     /// Returns for each aggregator the capacity to assume now: 0 if it failed a moment ago, less than
     /// its own if it takes much longer than the fastest one.
@@ -121,8 +95,8 @@
 
     /// Returns whether the peer has answered a query since `then`, or at any time if that is
     /// `None`.
-    pub fn answered_since(&self, relay: &Relay, then: Option<Instant>) -> bool {
-        let last_answer = lock(&self.last_answers).get(&relay.host).copied();
+    pub fn answered_since(&self, aggregator: &Aggregator, then: Option<Instant>) -> bool {
+        let last_answer = lock(&self.last_answers).get(&aggregator.host).copied();
         last_answer.is_some_and(|answered| then.is_none_or(|then| answered >= then))
     }
 
@@ -130,14 +104,14 @@
     /// none.
     pub async fn gather(
         &self,
-        relay: &Relay,
+        aggregator: &Aggregator,
         route: &Route,
         query: GroupQuery,
     ) -> Result<GroupReply, GroupFailure> {
         let started_at = now();
-        let running = RunningCall::begin(self, &relay.host, started_at);
-        let Ok(client) = self.client(relay.address).await else {
-            lock(&self.health).entry(relay.host.clone()).or_default().record_failure(now());
+        let running = RunningCall::begin(self, &aggregator.host, started_at);
+        let Ok(client) = self.client(aggregator.address).await else {
+            lock(&self.health).entry(aggregator.host.clone()).or_default().record_failure(now());
             return Err(GroupFailure::NotRun("the peer cannot be connected to"));
         };
         let time_left = query.time_left.saturating_sub(now().saturating_duration_since(started_at));
@@ -145,18 +119,18 @@
         drop(running);
         let ended_at = now();
         let mut health = lock(&self.health);
-        let health = health.entry(relay.host.clone()).or_default();
+        let health = health.entry(aggregator.host.clone()).or_default();
         match reply {
             Ok(Ok(Some(reply))) => {
                 let latency = ended_at.saturating_duration_since(started_at);
-                lock(&self.last_answers).insert(relay.host.clone(), ended_at);
+                lock(&self.last_answers).insert(aggregator.host.clone(), ended_at);
                 health.record_answer(&route.name, latency, ended_at);
                 Ok(reply)
             }
             Ok(Ok(None)) => Err(GroupFailure::NotRun("the peer cannot handle the query")),
             Ok(Err(_)) => {
                 health.record_failure(ended_at);
-                lock(&self.clients).remove(&relay.address);
+                lock(&self.clients).remove(&aggregator.address);
                 Err(GroupFailure::MayHaveRun("the connection to the peer failed"))
             }
             Err(_) => {
@@ -167,8 +141,8 @@
     }
 
     /// Records that a peer did not answer in time, so that other hosts are chosen for a while.
-    pub fn record_overdue(&self, relay: &Relay, now: Instant) {
-        lock(&self.health).entry(relay.host.clone()).or_default().record_failure(now);
+    pub fn record_overdue(&self, aggregator: &Aggregator, now: Instant) {
+        lock(&self.health).entry(aggregator.host.clone()).or_default().record_failure(now);
     }
 
     /// Requests what a peer knows of the store. Returns `None` if it knows nothing or fails to
--- a/crates/edge/src/query/gather.rs
+++ b/crates/edge/src/query/gather.rs
@@ -412,7 +412,7 @@
             Some((index_of(position)?, Signature::from_bytes(&signature).ok()?))
         };
         let Some(parts) = reply.parts.into_iter().map(decode).collect::<Option<Vec<_>>>() else {
-            Event::new("group_reply_unreadable").with("peer", group.aggregator.name()).warn();
+            Event::new("group_reply_unreadable").with("peer", &group.aggregator.host).warn();
             return;
         };
         for (position, tried) in reply.missing {
@@ -460,7 +460,7 @@
         };
         Event::new("peer_bypassed")
             .with("request", &self.request.inbound.id)
-            .with("peer", group.aggregator.name())
+            .with("peer", &group.aggregator.host)
             .with("shards", group.shards.len())
             .with("why", why)
             .with("waited_ms", now().saturating_duration_since(self.request.arrived_at).as_millis())
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -30,7 +30,6 @@
 use crate::peers::GroupQuery;
 use crate::peers::GroupReply;
 use crate::peers::GroupShard;
-use crate::peers::Relay;
 use crate::query::RoutedRequest;
 use crate::query::gather::ScatterGather;
 
@@ -52,7 +51,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ShardGroup {
     /// Host that queries the shards and merges their parts.
-    pub aggregator: Relay,
+    pub aggregator: Aggregator,
     /// Index of each shard in the whole query.
     pub shards: Vec<usize>,
 }
@@ -103,7 +102,7 @@
     for (aggregator, count) in aggregators.into_iter().zip(counts) {
         let shards: Vec<usize> = ungrouped.by_ref().take(count).collect();
         if !shards.is_empty() {
-            groups.push(ShardGroup { aggregator: aggregator.into(), shards });
+            groups.push(ShardGroup { aggregator, shards });
         }
     }
     groups
@@ -174,7 +173,7 @@
         let shards: Vec<usize> = in_zone.map(|(index, _)| *index).take(count).collect();
         if !shards.is_empty() {
             remote_shards.retain(|index, _| !shards.contains(index));
-            groups.push(ShardGroup { aggregator: aggregator.into(), shards });
+            groups.push(ShardGroup { aggregator, shards });
         }
     }
     groups
@@ -197,7 +196,7 @@
         let fraction =
             objective.saturating_duration_since(now).mul_f64(AGGREGATOR_TIMEOUT_FRACTION);
         let searcher_latency = host.latency_estimate(route).overdue_after();
-        let capacity = self.aggregator.capacity();
+        let capacity = self.aggregator.capacity;
         let expected = expected_group_time(self.shards.len(), capacity, searcher_latency);
         let late = expected * LATE_FACTOR + AGGREGATOR_REPLY_TIME;
         (now + fraction.max(late)).min(objective)
--- a/crates/http/tests/planned_stop.rs
+++ b/crates/http/tests/planned_stop.rs
@@ -76,18 +76,29 @@
     assert!(reply.ends_with("whole"), "{reply}");
 }
 
-#[tokio::test]
-async fn first_request_of_an_accepted_connection_is_answered_after_the_stop_began() {
+/// Sends the first `sent_before` bytes of a request before the stop begins and the others after it.
+async fn assert_answered_across_the_stop(sent_before: usize) {
     let scene = Scene::start().await;
     let mut stream = scene.connect();
+    stream.write_all(&REQUEST[..sent_before]).unwrap();
     sleep(SETTLE_TIME).await;
     scene.stop.send_replace(true);
     sleep(SETTLE_TIME).await;
-    stream.write_all(REQUEST).unwrap();
+    stream.write_all(&REQUEST[sent_before..]).unwrap();
     assert_answered(&read_to_end(stream).await);
     scene.stopped().await;
 }
 
+#[tokio::test]
+async fn first_request_of_an_accepted_connection_is_answered_after_the_stop_began() {
+    assert_answered_across_the_stop(0).await;
+}
+
+#[tokio::test]
+async fn half_a_head_that_was_read_before_the_stop_is_completed_and_answered() {
+    assert_answered_across_the_stop(9).await;
+}
+
 #[tokio::test]
 async fn connections_in_the_listen_queue_are_answered_when_the_stop_begins() {
     let scene = Scene::start().await;
@@ -122,19 +133,6 @@
     scene.stopped().await;
 }
 
-#[tokio::test]
-async fn half_a_head_that_was_read_before_the_stop_is_completed_and_answered() {
-    let scene = Scene::start().await;
-    let mut stream = scene.connect();
-    stream.write_all(&REQUEST[..9]).unwrap();
-    sleep(SETTLE_TIME).await;
-    scene.stop.send_replace(true);
-    sleep(SETTLE_TIME).await;
-    stream.write_all(&REQUEST[9..]).unwrap();
-    assert_answered(&read_to_end(stream).await);
-    scene.stopped().await;
-}
-
 #[tokio::test]
 async fn connections_without_a_request_do_not_hold_up_the_stop() {
     let scene = Scene::start().await;
--- a/crates/policy/src/membership/fact.rs
+++ b/crates/policy/src/membership/fact.rs
@@ -26,6 +26,16 @@
     Leaving,
 }
 
+impl HostState {
+    /// Returns whether the host takes part in the fleet: it is alive, or suspected and not yet dead.
+    pub fn is_active(self) -> bool {
+        match self {
+            Self::Alive | Self::Suspect => true,
+            Self::Dead | Self::Leaving => false,
+        }
+    }
+}
+
 /// Statement about one host, exchanged by gossip.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostFact {
--- a/crates/policy/src/membership/table.rs
+++ b/crates/policy/src/membership/table.rs
@@ -129,10 +129,8 @@
             .map(|m| HostFact { state: HostState::Dead, ..m.fact.clone() })
             .collect();
         let changes = overdue.into_iter().filter_map(|fact| self.apply(fact, now)).collect();
-        self.members.retain(|_, member| match member.fact.state {
-            HostState::Alive | HostState::Suspect => true,
-            HostState::Dead | HostState::Leaving => age(member) < DEPARTED_TTL,
-        });
+        self.members
+            .retain(|_, member| member.fact.state.is_active() || age(member) < DEPARTED_TTL);
         changes
     }
 
@@ -226,7 +224,7 @@
     pub fn active(&self) -> impl Iterator<Item = &HostFact> + Clone {
         std::iter::once(&self.own)
             .chain(self.members.values().map(|m| &m.fact))
-            .filter(|f| matches!(f.state, HostState::Alive | HostState::Suspect))
+            .filter(|f| f.state.is_active())
     }
 
     /// Returns the known fact about one host.
--- a/crates/policy/src/membership/zones.rs
+++ b/crates/policy/src/membership/zones.rs
@@ -77,8 +77,7 @@
     /// Returns whether a host needs to know of another one, to which `fact` applies: of all hosts of
     /// its own zone, and of the representatives of the others.
     pub fn is_kept(&self, fact: &HostFact) -> bool {
-        let departed = matches!(fact.state, HostState::Dead | HostState::Leaving);
-        fact.zone == self.own_zone || self.is_representative(&fact.host) || departed
+        fact.zone == self.own_zone || self.is_representative(&fact.host) || !fact.state.is_active()
     }
 
     /// Returns the facts for a message to a host of another zone, starting with the host's own:
@@ -113,10 +112,9 @@
     /// suspects it if it does not answer. Representatives that seem dead are probed too, so that the
     /// end of a partition is noticed.
     pub fn is_probed_across_zones(&self, own: &HostFact, fact: &HostFact) -> bool {
-        let departed = matches!(fact.state, HostState::Dead | HostState::Leaving);
         fact.zone != self.own_zone
             && self.is_representative(&own.host)
-            && (self.is_representative(&fact.host) || departed)
+            && (self.is_representative(&fact.host) || !fact.state.is_active())
     }
 }
 
