Send no requests to a searcher that said in an answer that it leaves

Callers saw: requests to a searcher whose answers said that it was leaving, from hosts that could not read that in the store; these fail once the searcher ends.

Cause: no code read the header. What the store said was kept with the entry, so that a leaving searcher was open again once its entry was removed and written again.

Change: the adapter decodes the statement from every reply (parts, calls, refusals, failures, health checks) once into `Notice`. The first statement closes that run of the searcher on this host for good, kept in `LeavingRuns` apart from the entry; a new start time opens it again.

Evidence: without the change searcher_that_states_in_an_answer_that_it_leaves_gets_no_further_request saw 20 requests instead of 1 and leaving_searcher_gets_no_request_when_its_entry_returns 5 instead of 1; with the statement read but not kept apart from the entry, the second saw 2. Both pass now.

--- a/bin/galenaloft-edge/tests/edge/main.rs
+++ b/bin/galenaloft-edge/tests/edge/main.rs
@@ -2,4 +2,5 @@
 
 mod changes;
 mod hosts;
+mod notices;
 mod serving;
--- /dev/null
+++ b/bin/galenaloft-edge/tests/edge/notices.rs
@@ -0,0 +1,74 @@
+//! What searchers state about themselves in their answers.
+
+use std::time::Duration;
+
+use galenaloft_platform_standin::scene::FETCH_PATH;
+use galenaloft_platform_standin::scene::GATHER_PATH;
+use galenaloft_platform_standin::scene::Layout;
+use galenaloft_platform_standin::scene::Scene;
+use galenaloft_platform_standin::searcher::Searcher;
+use galenaloft_platform_standin::store::StoreFault;
+use tokio::time::sleep;
+
+use crate::hosts::Edge;
+use crate::hosts::wait_until;
+
+const MS: Duration = Duration::from_millis(1);
+
+async fn start_platform() -> Scene {
+    Scene::start(&Layout::default()).await.unwrap()
+}
+
+/// Sends requests until one was answered by `searcher`, and returns how many had reached it then.
+async fn tell(edge: &Edge, searcher: &Searcher) -> usize {
+    let before = searcher.arrivals().len();
+    wait_until("the searcher has answered", || async {
+        edge.get(FETCH_PATH).await;
+        searcher.arrivals().len() > before
+    })
+    .await;
+    searcher.arrivals().len()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn searcher_that_states_in_an_answer_that_it_leaves_gets_no_further_request() {
+    let platform = start_platform().await;
+    let edge = Edge::start_ready(&platform, "a", 1, 28400).await;
+    platform.store.set_fault(StoreFault::Silent);
+    let leaving = &platform.singles[0];
+    leaving.state_in_answers(&[("Server-Leaving", "1")]);
+    let told = tell(&edge, leaving).await;
+    for _ in 0..20 {
+        assert_eq!(edge.get(FETCH_PATH).await.status, 200);
+    }
+    assert_eq!(leaving.arrivals().len(), told);
+    let part = &platform.shards[0][0];
+    part.state_in_answers(&[("Server-Leaving", "1")]);
+    wait_until("the shard's searcher has answered", || async {
+        edge.get(GATHER_PATH).await;
+        part.stated_at().is_some()
+    })
+    .await;
+    let told = part.arrivals().len();
+    for _ in 0..20 {
+        assert_eq!(edge.get(GATHER_PATH).await.missing(), 0);
+    }
+    assert_eq!(part.arrivals().len(), told);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_searcher_gets_no_request_when_its_entry_returns() {
+    let platform = start_platform().await;
+    let edge = Edge::start_ready(&platform, "a", 1, 28410).await;
+    let leaving = &platform.singles[0];
+    leaving.state_in_answers(&[("Server-Leaving", "1")]);
+    let told = tell(&edge, leaving).await;
+    leaving.deregister();
+    sleep(1_500 * MS).await;
+    leaving.register_again();
+    sleep(1_500 * MS).await;
+    for _ in 0..20 {
+        assert_eq!(edge.get(FETCH_PATH).await.status, 200);
+    }
+    assert_eq!(leaving.arrivals().len(), told);
+}
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
+use galenaloft_adapter::searcher;
 use galenaloft_config::edge::EdgeSettings;
 use galenaloft_http::Limits;
 use galenaloft_policy::directory::RevisionedChange;
@@ -34,6 +36,7 @@
 use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 use galenaloft_telemetry::metrics::Metrics;
+use hyper::Response;
 use tokio::sync::watch;
 
 use crate::peers::MIN_ASSUMED_HOSTS;
@@ -42,6 +45,7 @@
 use crate::peers::StoreView;
 use crate::peers::capacity;
 use crate::searchers::Fleet;
+use crate::searchers::Searcher;
 
 /// Maximum number of open connections from callers. The platform grants a process a few thousand
 /// file descriptors.
@@ -273,6 +277,21 @@
         lock(&self.config).as_ref().map_or(0, |config| config.version)
     }
 
+    /// Takes over what a searcher states about itself in a reply.
+    pub fn record_notice(&self, searcher: &Searcher, reply: &Response<Bytes>) {
+        let (notice, invalid) = searcher::notice(reply);
+        for header in invalid {
+            let value = reply.headers().get(&header);
+            Event::new("searcher_notice_invalid")
+                .with("searcher", &searcher.entry.id)
+                .with("header", &header)
+                .with("value", format!("{value:?}"))
+                .warn();
+            self.metrics.invalid_notice();
+        }
+        self.fleet.record_notice(searcher, &notice);
+    }
+
     /// Returns the configuration and the list of searchers that this host has, or `None` if it has
     /// no list of searchers yet.
     pub fn store_view(&self) -> Option<StoreView> {
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -129,8 +129,8 @@
     };
     let (host, searcher, health_path) = (host.clone(), searcher.clone(), health_path.cloned());
     tokio::spawn(async move {
-        let succeeded =
-            timeout(HEALTH_TIMEOUT, connect_and_check(lease, health_path)).await.unwrap_or(false);
+        let succeeded = timeout(HEALTH_TIMEOUT, connect_and_check(&host, lease, health_path)).await;
+        let succeeded = succeeded.unwrap_or(false);
         if succeeded && !searcher.local {
             host.record_other_zone_answer(now());
         }
@@ -144,7 +144,7 @@
 
 /// Connects and, if a path is given, checks the searcher's health. Returns whether the searcher was
 /// reached and, where its health was checked, reported itself healthy.
-async fn connect_and_check(mut lease: Lease, health_path: Option<String>) -> bool {
+async fn connect_and_check(host: &Host, mut lease: Lease, health_path: Option<String>) -> bool {
     let (id, address) = (lease.searcher.entry.id.clone(), lease.searcher.address());
     if lease.connect().await.is_err() {
         return false;
@@ -160,6 +160,7 @@
         return false;
     };
     let healthy = searcher::is_healthy(&reply, &id);
+    host.record_notice(&lease.searcher, &reply);
     lease.return_connection(searcher::idle_timeout(reply.headers()));
     healthy
 }
--- a/crates/edge/src/query/attempt.rs
+++ b/crates/edge/src/query/attempt.rs
@@ -132,6 +132,7 @@
     if !searcher.local {
         host.record_other_zone_answer(received_at);
     }
+    host.record_notice(&searcher, &reply);
     let idle_timeout = searcher::idle_timeout(reply.headers());
     match searcher::read_reply(reply, &request.inbound.id) {
         SearcherReply::Ran(answer) => {
--- a/crates/edge/src/searchers/fleet.rs
+++ b/crates/edge/src/searchers/fleet.rs
@@ -11,6 +11,8 @@
 use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::ids::ZoneId;
+use galenaloft_policy::notice::LeavingRuns;
+use galenaloft_policy::notice::Notice;
 use galenaloft_policy::route::Route;
 use galenaloft_policy::routing::ConnectionShare;
 use galenaloft_policy::routing::ExtraRequestBudget;
@@ -137,12 +139,14 @@
 pub struct Fleet {
     zone: ZoneId,
     services: Mutex<BTreeMap<ServiceId, Arc<Service>>>,
+    /// Runs of searchers that are leaving, listed or not.
+    leaving: Mutex<LeavingRuns>,
 }
 
 impl Fleet {
     /// Creates an empty fleet for a host in `zone`.
     pub fn new(zone: ZoneId) -> Self {
-        Self { zone, services: Mutex::default() }
+        Self { zone, services: Mutex::default(), leaving: Mutex::default() }
     }
 
     /// Returns a service, which is created without searchers if there is none of that id.
@@ -169,8 +173,17 @@
         }
     }
 
+    /// Takes over what a searcher stated about itself in an answer.
+    pub fn record_notice(&self, searcher: &Searcher, notice: &Notice) {
+        if notice.leaving && lock(&self.leaving).record(&searcher.entry) {
+            log_change("searcher_leaving", &searcher.entry);
+            searcher.drain();
+        }
+    }
+
     /// Updates the searchers to those that the directory lists. Searchers that stay keep their
-    /// observed health and connections; those that are no longer listed drain.
+    /// observed health and connections; those that are no longer listed drain, and those that are
+    /// leaving stay drained if they are listed again.
     pub fn update(&self, directory: &Directory) {
         let mut listed: BTreeMap<ServiceId, Vec<Arc<Searcher>>> = BTreeMap::new();
         for entry in directory.entries() {
@@ -183,8 +196,10 @@
                     Arc::new(Searcher::new(entry.clone(), local))
                 }
             };
-            if entry.state == SearcherState::Draining && !searcher.is_draining() {
+            if entry.state == SearcherState::Draining && lock(&self.leaving).record(entry) {
                 log_change("searcher_draining", entry);
+            }
+            if lock(&self.leaving).contains(entry) {
                 searcher.drain();
             }
             listed.entry(entry.service.clone()).or_default().push(searcher);
--- /dev/null
+++ b/crates/policy/src/notice/mod.rs
@@ -0,0 +1,10 @@
+//! Statements of searchers about themselves, which come with their answers, and what a host may
+//! send them accordingly.
+
+mod leaving_runs;
+mod statement;
+#[cfg(test)]
+mod tests;
+
+pub use leaving_runs::LeavingRuns;
+pub use statement::Notice;
--- a/crates/telemetry/src/metrics/recorder.rs
+++ b/crates/telemetry/src/metrics/recorder.rs
@@ -44,6 +44,7 @@
     extra_load: Histogram<f64>,
     attempts: Counter<u64>,
     outcomes: Counter<u64>,
+    invalid_notices: Counter<u64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -70,6 +71,7 @@
             extra_load: histogram("galenaloft_extra_load_ratio", &EXTRA_LOAD_BOUNDS),
             attempts: meter.u64_counter("galenaloft_attempts").build(),
             outcomes: meter.u64_counter("galenaloft_requests").build(),
+            invalid_notices: meter.u64_counter("galenaloft_invalid_notices").build(),
             registry,
             _provider: provider,
         }
@@ -111,6 +113,11 @@
         self.outcomes.add(1, &labels);
     }
 
+    /// Counts a statement of a searcher about itself that cannot be decoded.
+    pub fn invalid_notice(&self) {
+        self.invalid_notices.add(1, &[]);
+    }
+
     /// Returns every metric in the Prometheus text format.
     pub fn encode(&self) -> Vec<u8> {
         let mut buf = Vec::new();
