Keep a run of a searcher draining when a later entry says ready

A delayed heartbeat of the same run that says `ready` after one that says `draining` made a host send requests to that searcher again, and updates to other hosts left the first statement out.

Cause: a final statement was stored as a replaceable state. The directory kept the last entry only, and an update dropped every change that was written again later.

Change: an entry of the same run does not end `draining`; an update keeps the change that says so.

Evidence: without the change a_draining_run_stays_draining_when_a_later_entry_says_ready fails (Changed instead of Unchanged) and draining_is_passed_on_although_the_entry_was_written_again fails ([1002] instead of [1001, 1002]). Both pass now.

--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -5,6 +5,7 @@
 
 use galenaloft_policy::directory::Change;
 use galenaloft_policy::directory::RevisionedChange;
+use galenaloft_policy::directory::SearcherEntry;
 use galenaloft_policy::ids::ConfigVersion;
 use galenaloft_policy::ids::Rank;
 use galenaloft_policy::ids::RouteName;
@@ -66,7 +67,8 @@
 
 impl StoreUpdate {
     /// Splits the update into consecutive ones of at most `max_changes` changes, so that each fits
-    /// into a datagram. A change is left out if the searcher wrote its entry again later.
+    /// into a datagram. A change is left out if the searcher wrote its entry again later, unless it
+    /// says that this run is draining.
     pub fn split(mut self, max_changes: usize) -> Vec<Self> {
         self.drop_superseded();
         let mut after = self.after;
@@ -85,18 +87,20 @@
     }
 
     fn drop_superseded(&mut self) {
-        let mut rewritten: BTreeMap<SearcherId, StoreRevision> = BTreeMap::new();
+        let mut rewritten: BTreeMap<SearcherId, (StoreRevision, SearcherEntry)> = BTreeMap::new();
         for RevisionedChange { change, revision } in &self.changes {
             if let Change::Written(entry) = change {
-                rewritten.insert(entry.id.clone(), *revision);
+                rewritten.insert(entry.id.clone(), (*revision, entry.clone()));
             }
         }
         self.changes.retain(|RevisionedChange { change, revision }| {
-            let searcher = match change {
-                Change::Written(entry) => &entry.id,
-                Change::Removed(id) => id,
+            let (searcher, entry) = match change {
+                Change::Written(entry) => (&entry.id, Some(entry)),
+                Change::Removed(id) => (id, None),
             };
-            rewritten.get(searcher).is_none_or(|last| revision >= last)
+            rewritten.get(searcher).is_none_or(|(last_revision, last)| {
+                revision >= last_revision || entry.is_some_and(|entry| entry.makes_draining(last))
+            })
         });
     }
 }
--- a/crates/edge/src/peers/messages/tests.rs
+++ b/crates/edge/src/peers/messages/tests.rs
@@ -39,32 +39,43 @@
     assert_eq!((parts[0].after, parts[0].revision), (1_000, 4_000));
 }
 
+fn written(id: &str, state: SearcherState) -> Change {
+    Change::Written(SearcherEntry {
+        id: id.into(),
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: "a".into(),
+        slots: 2,
+        state,
+        warmup_left: Duration::ZERO,
+        start_time: 1,
+    })
+}
+
+/// Returns the revisions of the changes that an update passes on, of which the first has 1,001.
+fn passed_on(changes: impl IntoIterator<Item = Change>) -> Vec<StoreRevision> {
+    let mut whole = update(1_000, std::iter::empty());
+    let revisioned = changes.into_iter().zip(1_001..);
+    whole.changes =
+        revisioned.map(|(change, revision)| RevisionedChange { change, revision }).collect();
+    let parts = whole.split(100);
+    parts[0].changes.iter().map(|c| c.revision).collect()
+}
+
+#[test]
+fn draining_is_passed_on_although_the_entry_was_written_again() {
+    let changes = [written("x", SearcherState::Draining), written("x", SearcherState::Ready)];
+    assert_eq!(passed_on(changes), [1_001, 1_002]);
+}
+
 #[test]
 fn a_change_is_left_out_if_the_searcher_wrote_its_entry_again() {
-    let written = |id: &str, state| {
-        Change::Written(SearcherEntry {
-            id: id.into(),
-            service: "s".into(),
-            address: "127.0.0.1:1".parse().unwrap(),
-            zone: "a".into(),
-            slots: 2,
-            state,
-            warmup_left: Duration::ZERO,
-            start_time: 1,
-        })
-    };
     let changes = [
         written("x", SearcherState::Ready),
         written("y", SearcherState::Ready),
         written("x", SearcherState::Draining),
         Change::Removed("x".into()),
     ];
-    let mut whole = update(1_000, std::iter::empty());
-    let revisioned = changes.into_iter().zip(1_001..);
-    whole.changes =
-        revisioned.map(|(change, revision)| RevisionedChange { change, revision }).collect();
-    let parts = whole.split(100);
-    let revisions: Vec<StoreRevision> = parts[0].changes.iter().map(|c| c.revision).collect();
     // That the searcher was draining is known from its last entry, and that it left from its removal.
-    assert_eq!(revisions, [1_002, 1_003, 1_004]);
+    assert_eq!(passed_on(changes), [1_002, 1_003, 1_004]);
 }
--- a/crates/policy/src/directory/entry.rs
+++ b/crates/policy/src/directory/entry.rs
@@ -50,4 +50,10 @@
             && self.address == other.address
             && self.service == other.service
     }
+
+    /// Returns whether a later entry counts as draining because of this one, whatever it states
+    /// itself: a run that has begun to drain never accepts requests again.
+    pub fn makes_draining(&self, later: &Self) -> bool {
+        self.state == SearcherState::Draining && self.is_same_run(later)
+    }
 }
--- a/crates/policy/src/directory/listing.rs
+++ b/crates/policy/src/directory/listing.rs
@@ -114,10 +114,13 @@
             return ChangeEffect::Unchanged;
         }
         match change {
-            Change::Written(entry) => {
+            Change::Written(mut entry) => {
                 let id = entry.id.clone();
                 self.removed.remove(&id);
                 let known = self.listed.get(&id);
+                if known.is_some_and(|known| known.entry.makes_draining(&entry)) {
+                    entry.state = SearcherState::Draining;
+                }
                 let effect = match known {
                     Some(known) if known.entry != entry => ChangeEffect::Changed,
                     Some(known) if known.expired => ChangeEffect::Restored,
--- a/crates/policy/src/directory/tests.rs
+++ b/crates/policy/src/directory/tests.rs
@@ -126,3 +126,20 @@
     assert!(listener.drop_expired(now + ms(2_900)));
     assert_eq!(reader.time_since_store_recovery(now + ms(2_900)), None);
 }
+
+#[test]
+fn a_draining_run_stays_draining_when_a_later_entry_says_ready() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.apply(written("a", SearcherState::Draining, 1), now);
+    assert_eq!(
+        directory.apply(written("a", SearcherState::Ready, 2), now),
+        ChangeEffect::Unchanged
+    );
+    let states: Vec<SearcherState> = directory.entries().map(|entry| entry.state).collect();
+    assert_eq!(states, [SearcherState::Draining]);
+    let restarted = SearcherEntry { start_time: 2, ..entry("a", SearcherState::Ready) };
+    let change = RevisionedChange { change: Change::Written(restarted.clone()), revision: 3 };
+    assert_eq!(directory.apply(change, now), ChangeEffect::Changed);
+    assert_eq!(directory.entries().collect::<Vec<_>>(), [&restarted]);
+}
