galenaloftd: an older health answer does not reopen a draining searcher

Callers saw: requests refused as not run by a searcher that had said that it drains, until its next reply.

The answer to a health check that was asked before the statement set the queue to accepting again when it arrived.

Change: the queue keeps when the searcher last said that it drains; only the answer to a later check, which a restarted searcher gives, ends that.

Evidence: with the old behaviour, an answer that always ends it, a_health_answer_asked_before_a_searcher_said_that_it_drains_does_not_reopen_it fails; it passes now.

--- a/crates/host/src/owner/queue.rs
+++ b/crates/host/src/owner/queue.rs
@@ -53,7 +53,8 @@
     admission: AdmissionController,
     running: u32,
     health: Health,
-    draining: bool,
+    /// When the searcher last said that it is draining; `None` while it accepts new work.
+    draining_since: Option<Instant>,
     closed: bool,
     backoff_until: Option<Instant>,
     service_time: Duration,
@@ -88,7 +89,7 @@
             admission: AdmissionController::default(),
             running: 0,
             health: Health::Unknown,
-            draining: false,
+            draining_since: None,
             closed: false,
             backoff_until: None,
             service_time: Duration::ZERO,
@@ -103,7 +104,7 @@
     pub fn push(&self, job: Job, now: Instant) {
         let mut state = self.lock();
         state.last_used = now;
-        if state.draining || state.closed {
+        if state.draining_since.is_some() || state.closed {
             drop(state);
             return job.refuse(FailureReason::Draining);
         }
@@ -154,27 +155,43 @@
         self.lock().backoff_until = Some(now + CONNECT_BACKOFF);
     }
 
-    /// Records the result of a health check that was sent at `now`: whether the searcher is draining,
-    /// or `None` if it did not reply. Returns whether that has changed.
-    pub fn record_health(&self, draining: Option<bool>, now: Instant) -> bool {
+    /// Records the result of a health check that was sent at `asked_at`: whether the searcher is
+    /// draining, or `None` if it did not reply. Returns whether that has changed.
+    pub fn record_health(&self, draining: Option<bool>, asked_at: Instant) -> bool {
         self.lock().health = match draining {
-            Some(_) => Health::Answered(now),
+            Some(_) => Health::Answered(asked_at),
             None => Health::Unreachable,
         };
         self.changed.notify_waiters();
-        draining.is_some_and(|draining| self.set_draining(draining))
+        match draining {
+            Some(true) => self.record_draining(asked_at),
+            Some(false) => self.record_accepting(asked_at),
+            None => false,
+        }
     }
 
-    /// Sets whether the searcher is draining. If it is, ends all waiting jobs as not run. Returns
-    /// whether the state has changed.
-    pub fn set_draining(&self, draining: bool) -> bool {
+    /// Records that the searcher said at `at` that it is draining, and ends all waiting jobs as not
+    /// run. Returns whether that is new.
+    pub fn record_draining(&self, at: Instant) -> bool {
         let mut state = self.lock();
-        let changed = state.draining != draining;
-        state.draining = draining;
-        let jobs = if draining { state.waiting.remove_where(|_| true) } else { Vec::new() };
+        let is_new = state.draining_since.is_none();
+        state.draining_since = state.draining_since.max(Some(at));
+        let jobs = state.waiting.remove_where(|_| true);
         drop(state);
         jobs.into_iter().for_each(|job| job.refuse(FailureReason::Draining));
-        changed
+        is_new
+    }
+
+    /// Records that the searcher answered a health check, sent at `asked_at`, as one that accepts new
+    /// work. It has been started again if it said earlier that it is draining. Returns whether that
+    /// is new.
+    fn record_accepting(&self, asked_at: Instant) -> bool {
+        let mut state = self.lock();
+        let restarted = state.draining_since.is_some_and(|since| since < asked_at);
+        if restarted {
+            state.draining_since = None;
+        }
+        restarted
     }
 
     /// Sets the floors of the ranks.
@@ -217,7 +234,7 @@
     /// Returns the numbers of waiting and running attempts, and whether the searcher is draining.
     pub fn load(&self) -> (usize, u32, bool) {
         let state = self.lock();
-        (state.waiting.len(), state.running, state.draining)
+        (state.waiting.len(), state.running, state.draining_since.is_some())
     }
 
     /// Takes the next job to run, and refuses the jobs that it skips.
@@ -287,3 +304,6 @@
     Empty,
     Closed,
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/host/src/owner/slot.rs
+++ b/crates/host/src/owner/slot.rs
@@ -68,13 +68,13 @@
             SendOutcome::Replied(Err(failure)) if is_unsent(&failure) => {}
             SendOutcome::Replied(Ok(reply)) => {
                 if reply.draining {
-                    queue.set_draining(true);
+                    queue.record_draining(now());
                 }
                 return finish(tx, Ok(reply.result));
             }
             SendOutcome::Replied(Err(failure)) => {
                 if failure.reason == FailureReason::Draining {
-                    queue.set_draining(true);
+                    queue.record_draining(now());
                 }
                 return finish(tx, Err(failure));
             }
