Honour the pause that a searcher asks for in a refusal

Callers saw: requests sent to searchers that had refused one and named a time before which they want no other; each costs an attempt and comes back as not run.

Cause: no code read the header; a busy searcher was avoided for 30 ms.

Every way to a searcher asks it: first attempts, hedges, retries, parts for other hosts, health checks. A query whose floor cannot be met is refused before any shard is asked, a request to one service at once, both with the time that is left.

A request whose connection is taken by another one between the choice and the send chooses again; before, it slept until its deadline.

--- a/bin/galenaloft-edge/tests/edge/notices.rs
+++ b/bin/galenaloft-edge/tests/edge/notices.rs
@@ -1,11 +1,13 @@
 //! What searchers state about themselves in their answers.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use galenaloft_platform_standin::scene::FETCH_PATH;
 use galenaloft_platform_standin::scene::GATHER_PATH;
 use galenaloft_platform_standin::scene::Layout;
 use galenaloft_platform_standin::scene::Scene;
+use galenaloft_platform_standin::searcher::Fault;
 use galenaloft_platform_standin::searcher::Searcher;
 use galenaloft_platform_standin::store::StoreFault;
 use tokio::time::sleep;
@@ -72,3 +74,59 @@
     }
     assert_eq!(leaving.arrivals().len(), told);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn searcher_that_asks_for_a_pause_gets_no_request_until_its_end() {
+    let platform = start_platform().await;
+    let edge = Edge::start_ready(&platform, "a", 1, 28420).await;
+    let paused = &platform.singles[0];
+    paused.set_fault(Fault::Busy);
+    paused.state_in_answers(&[("Retry-After", "1.5")]);
+    let told = tell(&edge, paused).await;
+    let stated_at = paused.stated_at().unwrap();
+    paused.set_fault(Fault::None);
+    wait_until("the paused searcher gets requests again", || async {
+        assert_eq!(edge.get(FETCH_PATH).await.status, 200);
+        paused.arrivals().len() > told
+    })
+    .await;
+    let pause = paused.arrivals()[told].at.duration_since(stated_at);
+    assert!(pause >= 1_490 * MS, "{pause:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_refused_at_once_while_every_searcher_asks_for_a_pause() {
+    let platform = start_platform().await;
+    let edge = Edge::start_ready(&platform, "a", 1, 28430).await;
+    for searcher in &platform.singles {
+        searcher.set_fault(Fault::Busy);
+        searcher.state_in_answers(&[("Retry-After", "5")]);
+    }
+    for shard in &platform.shards[..4] {
+        for searcher in shard {
+            searcher.set_fault(Fault::Busy);
+            searcher.state_in_answers(&[("Retry-After", "5")]);
+        }
+    }
+    let told = |searcher: &Searcher| searcher.stated_at().is_some();
+    wait_until("every such searcher has answered", || async {
+        edge.get(FETCH_PATH).await;
+        edge.get(GATHER_PATH).await;
+        platform.singles.iter().chain(platform.shards[..4].iter().flatten()).all(told)
+    })
+    .await;
+    let arrivals = || {
+        let searchers = platform.singles.iter().chain(platform.shards.iter().flatten());
+        searchers.map(|searcher| searcher.arrivals().len()).sum::<usize>()
+    };
+    let before = arrivals();
+    for path in [FETCH_PATH, GATHER_PATH] {
+        let started_at = Instant::now();
+        let answer = edge.get(path).await;
+        assert_eq!(answer.status, 503);
+        assert!(started_at.elapsed() < 200 * MS, "{:?}", started_at.elapsed());
+        let retry_after: f64 = answer.headers["retry-after"].parse().unwrap();
+        assert!((3.0..=5.0).contains(&retry_after), "{retry_after}");
+    }
+    assert_eq!(arrivals(), before);
+}
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -278,7 +278,7 @@
     }
 
     /// Takes over what a searcher states about itself in a reply.
-    pub fn record_notice(&self, searcher: &Searcher, reply: &Response<Bytes>) {
+    pub fn record_notice(&self, searcher: &Searcher, reply: &Response<Bytes>, now: Instant) {
         let (notice, invalid) = searcher::notice(reply);
         for header in invalid {
             let value = reply.headers().get(&header);
@@ -289,7 +289,7 @@
                 .warn();
             self.metrics.invalid_notice();
         }
-        self.fleet.record_notice(searcher, &notice);
+        self.fleet.record_notice(searcher, &notice, now);
     }
 
     /// Returns the configuration and the list of searchers that this host has, or `None` if it has
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -112,7 +112,7 @@
 
 /// Opens a connection to a searcher in the background and, if `health_path` is given, sends a
 /// health request on it. Records the result in the searcher's health. Does nothing while an earlier
-/// probe is running or the searcher is at its connection limit.
+/// probe is running, the searcher is at its connection limit or it takes no requests from this host.
 fn probe_searcher(
     host: &Arc<Host>,
     service: &Arc<Service>,
@@ -123,7 +123,11 @@
     if searcher.probe_running.swap(true, Ordering::Relaxed) {
         return;
     }
-    let Some(lease) = Lease::begin(service, searcher, None, share, now()) else {
+    let lease = match health_path {
+        Some(_) => Lease::begin(service, searcher, None, share, now()),
+        None => Lease::reserve(service, searcher, None, share, now()),
+    };
+    let Some(lease) = lease else {
         searcher.probe_running.store(false, Ordering::Relaxed);
         return;
     };
@@ -160,7 +164,7 @@
         return false;
     };
     let healthy = searcher::is_healthy(&reply, &id);
-    host.record_notice(&lease.searcher, &reply);
+    host.record_notice(&lease.searcher, &reply, now());
     lease.return_connection(searcher::idle_timeout(reply.headers()));
     healthy
 }
--- a/crates/edge/src/query/attempt.rs
+++ b/crates/edge/src/query/attempt.rs
@@ -132,7 +132,7 @@
     if !searcher.local {
         host.record_other_zone_answer(received_at);
     }
-    host.record_notice(&searcher, &reply);
+    host.record_notice(&searcher, &reply, received_at);
     let idle_timeout = searcher::idle_timeout(reply.headers());
     match searcher::read_reply(reply, &request.inbound.id) {
         SearcherReply::Ran(answer) => {
--- a/crates/edge/src/query/gather.rs
+++ b/crates/edge/src/query/gather.rs
@@ -14,12 +14,15 @@
 use galenaloft_adapter::caller::Answer;
 use galenaloft_adapter::searcher::SearcherAnswer;
 use galenaloft_adapter::searcher::Signature;
+use galenaloft_policy::gathering::ShardAccess;
 use galenaloft_policy::gathering::TopRecords;
 use galenaloft_policy::gathering::WaitDecision;
 use galenaloft_policy::gathering::WaitPolicy;
 use galenaloft_policy::gathering::answer_processing_time;
+use galenaloft_policy::gathering::refuse_until;
 use galenaloft_policy::gathering::select_shards;
 use galenaloft_policy::ids::SearcherId;
+use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::route::Gather;
 use galenaloft_runtime::clock::now;
 use galenaloft_runtime::clock::sleep_until;
@@ -481,7 +484,15 @@
     if host.is_cut_off() && host.count_own_zone_shards(gather) < min_parts {
         return Answer::Refused(CALLER_RETRY_DELAY);
     }
-    let groups = group::group_shards(host, request, gather, now());
+    let started_at = now();
+    let groups = group::group_shards(host, request, gather, started_at);
+    if let Some(until) = refuse_until(&shard_access(host, gather, &groups, started_at), min_parts) {
+        Event::new("refused_by_notices")
+            .with("request", &request.inbound.id)
+            .with("retry_after_ms", (until - started_at).as_millis())
+            .info();
+        return Answer::Refused(until - started_at);
+    }
     let wait_policy = new_wait_policy(host, request, gather, &groups);
     let all_listed = vec![Vec::new(); gather.shards.len()];
     let mut query = ScatterGather::new(host, request, gather, all_listed);
@@ -500,6 +511,28 @@
     }
 }
 
+/// Returns for each shard whether this host can ask it now. What an aggregator may send is known to
+/// the aggregator only.
+fn shard_access(
+    host: &Host,
+    gather: &Gather,
+    groups: &[ShardGroup],
+    now: Instant,
+) -> Vec<ShardAccess> {
+    let mut is_grouped = vec![false; gather.shards.len()];
+    for index in groups.iter().flat_map(|group| &group.shards) {
+        is_grouped[*index] = true;
+    }
+    let access = |(shard, is_grouped): (&ServiceId, bool)| match is_grouped {
+        true => ShardAccess::Open,
+        false => match host.fleet.service(shard).opens_at(now) {
+            Some(at) => ShardAccess::ClosedUntil(at),
+            None => ShardAccess::Open,
+        },
+    };
+    gather.shards.iter().zip(is_grouped).map(access).collect()
+}
+
 /// Returns whether an answer holds the part of its shard.
 fn is_success(answer: &SearcherAnswer) -> bool {
     answer.status.is_success()
--- a/crates/edge/src/query/service.rs
+++ b/crates/edge/src/query/service.rs
@@ -7,6 +7,7 @@
 use galenaloft_adapter::caller::Answer;
 use galenaloft_adapter::searcher::SearcherAnswer;
 use galenaloft_policy::ids::ServiceId;
+use galenaloft_runtime::clock::now;
 
 use crate::host::Host;
 use crate::query::RoutedRequest;
@@ -31,7 +32,11 @@
     };
     match query.run(accept).await {
         Ok(answer) => Answer::Relayed(answer),
-        Err(_) if !query.may_have_run() => Answer::Refused(CALLER_RETRY_DELAY),
+        Err(_) if !query.may_have_run() => {
+            let now = now();
+            let opens_at = host.fleet.service(service).opens_at(now);
+            Answer::Refused(opens_at.map_or(CALLER_RETRY_DELAY, |at| at - now))
+        }
         Err(ShardFailure::Expired) => Answer::TimedOut,
         Err(ShardFailure::AttemptFailed(failure)) => Answer::Lost(failure.reason),
         Err(ShardFailure::NoSearcher) => Answer::Lost("no searcher is left"),
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -49,6 +49,10 @@
 const MIN_HEDGE_WAIT_FACTOR: f64 = 0.7;
 const MAX_HEDGE_WAIT_FACTOR: f64 = 1.3;
 
+/// A request waits for a searcher that takes no requests from this host until the time until the
+/// objective divided by this has passed. A later answer would hardly meet the objective.
+const CLOSED_WAIT_DIVISOR: u32 = 4;
+
 /// Longest wait for a free connection before the searchers are checked again.
 const CONNECTION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -224,12 +228,12 @@
     }
 
     /// Starts the first attempt, or a retry after all earlier ones have failed. Waits while no
-    /// searcher has a free connection. May return `Ok` without a running attempt if the connection
-    /// turned out not to be available.
+    /// searcher has a free connection, and for a short time while none takes requests.
     async fn start_attempt(&mut self, is_retry: bool) -> Result<(), ShardFailure> {
         if is_retry && !self.has_attempts_left() {
             return Err(ShardFailure::NoSearcher);
         }
+        let mut charged = false;
         loop {
             // The answer of the caller's request, or of the other host, said which searchers were
             // tried.
@@ -242,17 +246,23 @@
             }
             match self.choose_searcher(now) {
                 Choice::Searcher(searcher) => {
-                    if is_retry {
-                        let allowed = self.spend_extra(now);
-                        self.log_extra_attempt("retry", &searcher, allowed, now);
-                        if !allowed {
+                    if is_retry && !charged {
+                        charged = self.spend_extra(now);
+                        self.log_extra_attempt("retry", &searcher, charged, now);
+                        if !charged {
                             return Err(ShardFailure::NoSearcher);
                         }
                     }
-                    self.send(&searcher, now);
-                    return Ok(());
+                    // Another request may have taken the connection meanwhile.
+                    if self.send(&searcher, now) {
+                        return Ok(());
+                    }
+                    tokio::task::yield_now().await;
+                }
+                Choice::Closed(opens_at) if opens_at <= self.closed_wait_end() => {
+                    sleep_until(opens_at).await;
                 }
-                Choice::NoSearcher => return Err(ShardFailure::NoSearcher),
+                Choice::Closed(_) | Choice::NoSearcher => return Err(ShardFailure::NoSearcher),
                 Choice::AllAtLimit => {
                     let check_at = (now + CONNECTION_CHECK_INTERVAL).min(self.request.deadline);
                     tokio::select! {
@@ -279,8 +289,8 @@
         };
         let allowed = !searcher.is_suspect() && self.spend_extra(now);
         self.log_extra_attempt("hedge", &searcher, allowed, now);
-        if allowed {
-            self.send(&searcher, now);
+        if allowed && !self.send(&searcher, now) {
+            Event::new("hedge_not_sent").with("searcher", &searcher.entry.id).debug();
         }
     }
 
@@ -332,16 +342,24 @@
         self.request.connection_share(&self.service_id, self.host.sharing_hosts())
     }
 
-    /// Starts an attempt at a searcher, unless this host may open no further connection to it.
-    fn send(&mut self, searcher: &Arc<Searcher>, now: Instant) {
+    /// Returns until when the request waits for searchers that take no requests from this host.
+    fn closed_wait_end(&self) -> Instant {
+        let wait = self.request.route.target_latency / CLOSED_WAIT_DIVISOR;
+        self.request.deadline.min(self.request.arrived_at + wait)
+    }
+
+    /// Starts an attempt at a searcher. Returns `false` if this host may open no further connection
+    /// to it, or it takes no requests from this host.
+    fn send(&mut self, searcher: &Arc<Searcher>, now: Instant) -> bool {
         let route = Some(&self.request.route.name);
         let lease = Lease::begin(&self.service, searcher, route, self.connection_share(), now);
         let Some(lease) = lease else {
-            return;
+            return false;
         };
         lock(&self.tried).push(searcher.entry.id.clone());
         self.hedge_at = Some(self.next_hedge_at(searcher, now));
         self.running.push(attempt::start(&self.host, &self.request, lease));
+        true
     }
 
     /// Returns when an attempt sent to `searcher` at `now` is overdue, so that a hedge may
--- a/crates/edge/src/searchers/fleet.rs
+++ b/crates/edge/src/searchers/fleet.rs
@@ -68,6 +68,8 @@
     Searcher(Arc<Searcher>),
     /// There are usable candidates, but this host has used up its connections to each of them.
     AllAtLimit,
+    /// There are usable candidates, but none of them takes requests from this host before this time.
+    Closed(Instant),
     /// There is no usable candidate.
     NoSearcher,
 }
@@ -78,11 +80,23 @@
         lock(&self.searchers).clone()
     }
 
-    /// Returns the lowest expected latency of a usable searcher in seconds, or `None` if there is
-    /// no usable one. `prior` is the expected latency of searchers without observations.
+    /// Returns when some usable searcher takes requests from this host again, or `None` if one does
+    /// now or there is no usable one.
+    pub fn opens_at(&self, now: Instant) -> Option<Instant> {
+        let searchers = lock(&self.searchers);
+        let mut earliest: Option<Instant> = None;
+        for searcher in searchers.iter().filter(|searcher| searcher.is_usable()) {
+            let at = searcher.opens_at(now)?;
+            earliest = Some(earliest.map_or(at, |known| known.min(at)));
+        }
+        earliest
+    }
+
+    /// Returns the lowest expected latency of a usable searcher that takes requests from this host
+    /// now, in seconds, or `None` if there is no such searcher. `prior` is the expected latency of searchers without observations.
     pub fn best_expected_latency(&self, route: &Route, prior: f64, now: Instant) -> Option<f64> {
         let searchers = lock(&self.searchers);
-        let usable = searchers.iter().filter(|searcher| searcher.is_usable());
+        let usable = searchers.iter().filter(|s| s.is_usable() && s.opens_at(now).is_none());
         usable.map(|searcher| searcher.expected_latency(route, prior, now)).min_by(f64::total_cmp)
     }
 
@@ -99,8 +113,8 @@
         lock(&self.searchers).iter().any(|searcher| searcher.local && searcher.is_usable())
     }
 
-    /// Chooses the candidate with the least expected cost among the usable searchers to which this
-    /// host may use a connection. `prior` is the expected latency, in seconds, without
+    /// Chooses the candidate with the least expected cost among the usable searchers that take
+    /// requests from this host and to which it may use a connection. `prior` is the expected latency, in seconds, without
     /// observations.
     pub fn choose(
         &self,
@@ -113,6 +127,7 @@
         let searchers = lock(&self.searchers);
         let mut best: Option<(f64, &Arc<Searcher>)> = None;
         let mut any_at_limit = false;
+        let mut opens_at: Option<Instant> = None;
         for searcher in searchers.iter() {
             if !searcher.is_usable() || !candidates.contains(searcher) {
                 continue;
@@ -121,15 +136,20 @@
                 any_at_limit = true;
                 continue;
             }
+            if let Some(at) = searcher.opens_at(now) {
+                opens_at = Some(opens_at.map_or(at, |earliest| earliest.min(at)));
+                continue;
+            }
             let cost = searcher.cost(route, prior, now);
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, searcher));
             }
         }
-        match best {
-            Some((_, searcher)) => Choice::Searcher(searcher.clone()),
-            None if any_at_limit => Choice::AllAtLimit,
-            None => Choice::NoSearcher,
+        match (best, opens_at) {
+            (Some((_, searcher)), _) => Choice::Searcher(searcher.clone()),
+            (None, _) if any_at_limit => Choice::AllAtLimit,
+            (None, Some(at)) => Choice::Closed(at),
+            (None, None) => Choice::NoSearcher,
         }
     }
 }
@@ -174,11 +194,17 @@
     }
 
     /// Takes over what a searcher stated about itself in an answer.
-    pub fn record_notice(&self, searcher: &Searcher, notice: &Notice) {
+    pub fn record_notice(&self, searcher: &Searcher, notice: &Notice, now: Instant) {
         if notice.leaving && lock(&self.leaving).record(&searcher.entry) {
             log_change("searcher_leaving", &searcher.entry);
             searcher.drain();
         }
+        if lock(&searcher.gate).record(notice, now) {
+            let pause = notice.pause.unwrap_or_default();
+            change_event("searcher_paused", &searcher.entry)
+                .with("pause_ms", pause.as_millis())
+                .info();
+        }
     }
 
     /// Updates the searchers to those that the directory lists. Searchers that stay keep their
@@ -234,11 +260,15 @@
 
 /// Logs that a searcher was added, began to drain or was removed.
 fn log_change(event: &str, entry: &SearcherEntry) {
+    change_event(event, entry).info();
+}
+
+/// Returns a log line about a searcher that names it.
+fn change_event(event: &str, entry: &SearcherEntry) -> Event {
     Event::new(event)
         .with("searcher", &entry.id)
         .with("service", &entry.service)
         .with("zone", &entry.zone)
         .with("address", entry.address)
         .with("born", entry.start_time)
-        .info();
 }
--- a/crates/edge/src/searchers/lease.rs
+++ b/crates/edge/src/searchers/lease.rs
@@ -43,14 +43,29 @@
 }
 
 impl Lease {
-    /// Begins an exchange, or returns `None` while this host has used up its connections to the
-    /// searcher.
+    /// Begins an exchange of a request, or returns `None` while this host has used up its connections
+    /// to the searcher or the searcher takes no requests from it.
     pub fn begin(
         service: &Arc<Service>,
         searcher: &Arc<Searcher>,
         route: Option<&RouteName>,
         share: ConnectionShare,
         now: Instant,
+    ) -> Option<Self> {
+        if searcher.opens_at(now).is_some() {
+            return None;
+        }
+        Self::reserve(service, searcher, route, share, now)
+    }
+
+    /// Reserves a connection without sending a request on it, or returns `None` while this host has
+    /// used up its connections to the searcher.
+    pub fn reserve(
+        service: &Arc<Service>,
+        searcher: &Arc<Searcher>,
+        route: Option<&RouteName>,
+        share: ConnectionShare,
+        now: Instant,
     ) -> Option<Self> {
         let connection = searcher.check_out(share.limit(searcher.local), now)?;
         lock(&searcher.health).record_sent(now);
--- a/crates/edge/src/searchers/searcher.rs
+++ b/crates/edge/src/searchers/searcher.rs
@@ -10,6 +10,7 @@
 use galenaloft_http::Connection;
 use galenaloft_policy::directory::SearcherEntry;
 use galenaloft_policy::directory::SearcherState;
+use galenaloft_policy::notice::Gate;
 use galenaloft_policy::route::Route;
 use galenaloft_policy::routing::ReplicaView;
 use galenaloft_policy::routing::SearcherHealth;
@@ -46,6 +47,8 @@
     draining: AtomicBool,
     /// Health as observed by this host.
     pub health: Mutex<SearcherHealth>,
+    /// What it states about the requests that it takes from this host.
+    pub gate: Mutex<Gate>,
     /// Whether a probe is running.
     pub probe_running: AtomicBool,
     pool: Mutex<Pool>,
@@ -60,6 +63,7 @@
             local,
             draining,
             health: Mutex::default(),
+            gate: Mutex::default(),
             probe_running: AtomicBool::new(false),
             pool: Mutex::default(),
         }
@@ -80,6 +84,12 @@
         !self.is_draining() && !lock(&self.health).is_unreachable()
     }
 
+    /// Returns when the next request may be sent to it according to its own statements, or `None` if
+    /// it may be sent now.
+    pub fn opens_at(&self, now: Instant) -> Option<Instant> {
+        lock(&self.gate).opens_at(now)
+    }
+
     /// Returns whether it failed and has not answered since.
     pub fn is_suspect(&self) -> bool {
         lock(&self.health).is_suspect()
--- a/crates/edge/src/searchers/tests.rs
+++ b/crates/edge/src/searchers/tests.rs
@@ -49,7 +49,7 @@
         let service = fleet.service(&"shard".into());
         match service.choose(&route, 0.005, candidates, share, Instant::now()) {
             Choice::Searcher(searcher) => tried.push(searcher.entry.id.clone()),
-            Choice::AllAtLimit | Choice::NoSearcher => break,
+            Choice::AllAtLimit | Choice::Closed(_) | Choice::NoSearcher => break,
         }
     }
     tried.iter().map(ToString::to_string).collect()
--- /dev/null
+++ b/crates/policy/src/gathering/admission.rs
@@ -0,0 +1,28 @@
+//! Refusal of queries whose coverage floor cannot be met because searchers take no requests.
+
+use std::time::Instant;
+
+/// Whether a query can ask a shard now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShardAccess {
+    /// It can, or an attempt shows whether it can.
+    Open,
+    /// No searcher of the shard takes requests from this host before this time.
+    ClosedUntil(Instant),
+}
+
+/// Returns the time until which a query over these shards is refused, or `None` if it can meet a floor
+/// of `min_parts`. Such a query is not sent to the open shards either: their work would be of no use.
+pub fn refuse_until(shards: &[ShardAccess], min_parts: usize) -> Option<Instant> {
+    let mut openings: Vec<Instant> = shards
+        .iter()
+        .filter_map(|shard| match shard {
+            ShardAccess::Open => None,
+            ShardAccess::ClosedUntil(at) => Some(*at),
+        })
+        .collect();
+    let open = shards.len() - openings.len();
+    let needed = min_parts.min(shards.len()).saturating_sub(open);
+    openings.sort_unstable();
+    openings.into_iter().take(needed).next_back()
+}
--- a/crates/policy/src/gathering/mod.rs
+++ b/crates/policy/src/gathering/mod.rs
@@ -1,6 +1,7 @@
 //! Scatter-gather decisions: which shards and aggregators a query asks, how long it waits for their
 //! parts, and how the parts are merged into one answer.
 
+mod admission;
 mod aggregators;
 mod selection;
 #[cfg(test)]
@@ -8,6 +9,8 @@
 mod top_records;
 mod wait_policy;
 
+pub use admission::ShardAccess;
+pub use admission::refuse_until;
 pub use aggregators::MIN_GROUP_SHARDS;
 pub use aggregators::answer_processing_time;
 pub use aggregators::distribute_shards;
