Soak: searchers state that they leave, want a pause or have a limit

The stand-in plays the three statements in all its answers; the soak draws them beside the faults of a seed, from a sequence of their own, so that the faults of known seeds stay as they were. The checks compare what reached the searcher with the bounds of the platform, while no host was disturbed. Arrivals do not tell their host, so that the bounds on single hosts are added up over all.

--- a/tools/soak/src/check.rs
+++ b/tools/soak/src/check.rs
@@ -77,7 +77,13 @@
 }
 
 /// Returns the promises that were broken; requests sent after `recovered` must be served.
-pub fn check(seen: &[Seen], history: &History, shards: usize, recovered: Instant) -> Vec<String> {
+pub fn check(
+    seen: &[Seen],
+    history: &History,
+    hosts: usize,
+    shards: usize,
+    recovered: Instant,
+) -> Vec<String> {
     let arrivals: Vec<Vec<Arrival>> = history.searchers.iter().map(Searcher::arrivals).collect();
     let mut reached = Vec::new();
     let mut signed = BTreeMap::new();
@@ -103,6 +109,7 @@
     checker.check_arrivals();
     checker.check_attempts();
     checker.check_extra();
+    checker.check_notices(hosts);
     for seen in seen {
         checker.check_answer(seen);
         checker.check_held(seen);
@@ -224,6 +231,20 @@
         self.add(broken);
     }
 
+    /// Checks what searchers stated in their answers while no host was stopped, killed or held.
+    fn check_notices(&mut self, hosts: usize) {
+        let mut broken = Vec::new();
+        for stated in &self.history.stated {
+            let (from, until) = stated.binding();
+            let since = from.checked_sub(STABLE).unwrap_or(from);
+            let is_host = |target| matches!(target, Target::Host(_) | Target::Stop(_));
+            if !self.is_disturbed(since, until, is_host) {
+                broken.extend(stated.broken(hosts).map(|what| ("statements", what)));
+            }
+        }
+        self.add(broken);
+    }
+
     fn check_answer(&mut self, seen: &Seen) {
         let End::Answered(answer) = &seen.end else {
             return;
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -13,6 +13,7 @@
 use crate::callers;
 use crate::callers::Record;
 use crate::check;
+use crate::notices;
 use crate::plan;
 use crate::plan::Kinds;
 pub use crate::world::Size;
@@ -62,6 +63,11 @@
     }
     let mut played = JoinSet::new();
     let mut actions = 0;
+    if kinds == Kinds::All {
+        // Drawn on their own, so that the faults of a seed do not depend on them.
+        let rng = SmallRng::seed_from_u64(!seed);
+        played.spawn(play_notices(world.clone(), seed, rng, faults_end));
+    }
     while Instant::now() < faults_end {
         let action = plan::draw(kinds, &mut rng);
         println!("seed={seed} at_ms={} action={action:?}", began.elapsed().as_millis());
@@ -85,7 +91,29 @@
     let seen = record.all();
     let history = world.history();
     let mut broken = history.broken.clone();
-    broken.extend(check::check(&seen, &history, shards, recovered));
+    broken.extend(check::check(&seen, &history, hosts, shards, recovered));
     let served = seen.iter().filter(|seen| seen.is_served()).count();
     Ok(Report { seed, requests: seen.len(), served, actions, broken })
 }
+
+/// Draws and plays statements of searchers until `end`.
+async fn play_notices(
+    world: Arc<World>,
+    seed: u64,
+    mut rng: SmallRng,
+    end: Instant,
+) -> io::Result<()> {
+    let began = Instant::now();
+    let mut played = JoinSet::new();
+    while Instant::now() < end {
+        let notice = notices::draw(&mut rng);
+        println!("seed={seed} at_ms={} notice={notice:?}", began.elapsed().as_millis());
+        let world = world.clone();
+        played.spawn(async move { world.play_notice(notice).await });
+        sleep(notices::pause(&mut rng)).await;
+    }
+    while let Some(result) = played.join_next().await {
+        result.map_err(io::Error::other)??;
+    }
+    Ok(())
+}
--- a/tools/soak/src/world.rs
+++ b/tools/soak/src/world.rs
@@ -25,6 +25,9 @@
 
 use crate::edge;
 use crate::edge::Edge;
+use crate::notices::Notice;
+use crate::notices::Stated;
+use crate::notices::Statement;
 use crate::plan::Action;
 use crate::proxy::Harm;
 use crate::proxy::Proxy;
@@ -110,6 +113,8 @@
     pub configured: Vec<Configured>,
     /// Searchers that left.
     pub drained: Vec<Drained>,
+    /// What searchers stated in their answers, once they no longer did.
+    pub stated: Vec<Stated>,
     /// Every searcher that there was.
     pub searchers: Vec<Searcher>,
     /// What must not happen and did.
@@ -286,6 +291,33 @@
         Ok(())
     }
 
+    /// Lets a searcher make a statement for a while. One that is leaving ends then, after another one
+    /// has started.
+    pub async fn play_notice(&self, notice: Notice) -> io::Result<()> {
+        let place = self.place(notice.searcher);
+        let Ok(mut current) = place.current.try_lock() else {
+            return Ok(());
+        };
+        let event = self.begin(Target::Searcher);
+        let searcher = current.0.clone();
+        notice.statement.begin(&searcher);
+        sleep(notice.time).await;
+        let (from, until) = (searcher.stated_at(), Instant::now());
+        notice.statement.end(&searcher);
+        if notice.statement == Statement::Leaving {
+            *current = self.fill(&place.service, &place.zone, &place.body).await?;
+            sleep(OVERLAP).await;
+            searcher.crash();
+            searcher.deregister();
+        }
+        self.end(event);
+        if let Some(from) = from {
+            let stated = Stated { searcher, statement: notice.statement, from, until };
+            self.lock().stated.push(stated);
+        }
+        Ok(())
+    }
+
     /// Waits until no host is being stopped, started or held, and every one is ready.
     pub async fn settle(&self) {
         for host in 0..self.hosts.len() {
