Find the searchers of limit reports without a scan of all searchers

A report comes from every host of the zone as long as a searcher has a limit; in a large fleet each would have walked through all searchers. Those that have a limit already are found by id.

--- a/crates/edge/src/searchers/fleet.rs
+++ b/crates/edge/src/searchers/fleet.rs
@@ -1,7 +1,6 @@
 //! All searchers by service, and the choice of one of them.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Instant;
@@ -11,6 +10,7 @@
 use galenaloft_policy::directory::SearcherState;
 use galenaloft_policy::ids::HostId;
 use galenaloft_policy::ids::SearcherId;
+use galenaloft_policy::ids::SearcherStartTime;
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::ids::ZoneId;
 use galenaloft_policy::notice::LeavingRuns;
@@ -240,28 +240,26 @@
 
     /// Takes over what another host reported about the limits of searchers.
     pub fn record_limit_reports(&self, host: &HostId, reports: &[LimitReport], now: Instant) {
-        let known: BTreeMap<SearcherId, Arc<Searcher>> = match reports {
-            [] => return,
-            _ => self.searchers_of(reports),
-        };
         for report in reports {
-            let Some(searcher) = known.get(&report.searcher) else {
+            let Some(searcher) = self.find_run(&report.searcher, report.start_time) else {
                 continue;
             };
-            if searcher.entry.start_time == report.start_time
-                && lock(&searcher.gate).record_report(host, report, now)
-            {
-                self.record_limit_change(searcher);
+            if lock(&searcher.gate).record_report(host, report, now) {
+                self.record_limit_change(&searcher);
             }
         }
     }
 
-    /// Returns the searchers that are named in reports.
-    fn searchers_of(&self, reports: &[LimitReport]) -> BTreeMap<SearcherId, Arc<Searcher>> {
-        let named: BTreeSet<&SearcherId> = reports.iter().map(|report| &report.searcher).collect();
-        let all = self.services().into_iter().flat_map(|(_, service)| service.searchers());
-        let named = all.filter(|searcher| named.contains(&searcher.entry.id));
-        named.map(|searcher| (searcher.entry.id.clone(), searcher)).collect()
+    /// Returns a run of a searcher if it is listed. Those that have a limit are found first.
+    fn find_run(&self, id: &SearcherId, start_time: SearcherStartTime) -> Option<Arc<Searcher>> {
+        let is_run = |searcher: &Arc<Searcher>| {
+            searcher.entry.id == *id && searcher.entry.start_time == start_time
+        };
+        let limited = lock(&self.limited).get(id).cloned().filter(is_run);
+        limited.or_else(|| {
+            let services = self.services().into_iter();
+            services.flat_map(|(_, service)| service.searchers()).find(is_run)
+        })
     }
 
     fn record_limit_change(&self, searcher: &Arc<Searcher>) {
