Tell other hosts, and one that starts, of searchers that leave

Callers saw: requests sent to a searcher that had told another host that it leaves, by each host until its first answer, and by a host that started without the store.

Change: the first statement is reported to the other hosts as crashes are; a host that takes its list from a peer gets the leaving runs with it. One report type for both, and one type for a run of a searcher, which limits use too.

--- a/bin/galenaloft-edge/tests/edge/notices.rs
+++ b/bin/galenaloft-edge/tests/edge/notices.rs
@@ -63,6 +63,26 @@
     assert_eq!(part.arrivals().len(), told);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn other_hosts_and_one_that_starts_send_no_request_to_a_leaving_searcher() {
+    let platform = start_platform().await;
+    let told = Edge::start_ready(&platform, "a", 1, 28460).await;
+    let other = Edge::start_ready(&platform, "a", 2, 28460).await;
+    platform.store.set_fault(StoreFault::Silent);
+    let leaving = &platform.singles[0];
+    leaving.state_in_answers(&[("Server-Leaving", "1")]);
+    tell(&told, leaving).await;
+    sleep(300 * MS).await;
+    let arrivals = leaving.arrivals().len();
+    let started = Edge::start_ready(&platform, "a", 3, 28460).await;
+    for edge in [&other, &started] {
+        for _ in 0..20 {
+            assert_eq!(edge.get(FETCH_PATH).await.status, 200);
+        }
+    }
+    assert_eq!(leaving.arrivals().len(), arrivals);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_searcher_gets_no_request_when_its_entry_returns() {
     let platform = start_platform().await;
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -13,6 +13,7 @@
 use galenaloft_adapter::searcher;
 use galenaloft_config::edge::EdgeSettings;
 use galenaloft_http::Limits;
+use galenaloft_policy::directory::Change;
 use galenaloft_policy::directory::RevisionedChange;
 use galenaloft_policy::ids::Capacity;
 use galenaloft_policy::ids::ConfigVersion;
@@ -42,6 +43,7 @@
 use crate::peers::MIN_ASSUMED_HOSTS;
 use crate::peers::Peers;
 use crate::peers::Relays;
+use crate::peers::Report;
 use crate::peers::StoreView;
 use crate::peers::capacity;
 use crate::searchers::Fleet;
@@ -289,14 +291,21 @@
                 .warn();
             self.metrics.invalid_notice();
         }
-        self.fleet.record_notice(searcher, &notice, now);
+        if self.fleet.record_notice(searcher, &notice, now) {
+            self.peers.publish(Report::Leaving(searcher.entry.run()));
+        }
     }
 
     /// Returns the configuration and the list of searchers that this host has, or `None` if it has
     /// no list of searchers yet.
     pub fn store_view(&self) -> Option<StoreView> {
         let known = lock(&self.known_searchers).clone()?;
+        let runs = known.searchers.iter().filter_map(|searcher| match &searcher.change {
+            Change::Written(entry) => Some(entry.run()),
+            Change::Removed(_) => None,
+        });
         Some(StoreView {
+            leaving: runs.filter(|run| self.fleet.is_leaving(run)).collect(),
             config: self.config().map(|config| (*config).clone()),
             searchers: known.searchers,
             revision: known.revision,
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -1,5 +1,5 @@
-//! Gossip between edge hosts over UDP: probes, facts about hosts, store updates and searcher
-//! crashes.
+//! Gossip between edge hosts over UDP: probes, facts about hosts, store updates, and
+//! reports on searchers.
 
 use std::io;
 use std::net::SocketAddr;
@@ -24,6 +24,7 @@
 use crate::peers::limits;
 use crate::peers::messages::Datagram;
 use crate::peers::messages::Purpose;
+use crate::peers::messages::Report;
 use crate::store::PeerNotice;
 
 /// Time between two probe rounds, in each of which one peer is probed.
@@ -119,12 +120,15 @@
                 host.fleet.record_limit_reports(&host_id, &reports, now());
             }
         }
-        Purpose::Crash(crash) => {
-            let is_new = host.record_crash(crash.clone(), now());
+        Purpose::Report(report) => {
+            let is_new = match &report {
+                Report::Crash(crash) => host.record_crash(crash.clone(), now()),
+                Report::Leaving(run) => host.fleet.record_leaving(run),
+            };
             let from_other_zone = zone.as_ref() != Some(&host.settings.zone);
             if is_new && from_other_zone && host.peers.zone_gossip().is_some() {
-                // In a large fleet only representatives are told of crashes that other zones saw.
-                host.peers.forward_crash(crash);
+                // In a large fleet only representatives are told of what other zones saw.
+                host.peers.forward(report);
             }
         }
     }
@@ -181,16 +185,16 @@
     send_gossip(host, socket, target.address, Some(&target.zone), purpose).await;
 }
 
-/// Sends published store updates and crashes to the hosts that share them. Woken without either,
+/// Sends published store updates and reports to the hosts that share them. Woken without either,
 /// sends only facts: this host's own state has changed to leaving.
 async fn send_pending(host: Arc<Host>, socket: Arc<UdpSocket>) {
     loop {
         host.peers.send_requested.notified().await;
         let update = host.peers.take_update();
         let updates = update.map_or_else(Vec::new, |update| update.split(MAX_CHANGES));
-        let crashes = host.peers.take_crashes();
-        let forwarded = host.peers.take_forwarded_crashes();
-        let facts_only = updates.is_empty() && crashes.is_empty() && forwarded.is_empty();
+        let reports = host.peers.take_reports();
+        let forwarded = host.peers.take_forwarded_reports();
+        let facts_only = updates.is_empty() && reports.is_empty() && forwarded.is_empty();
         let receivers = host.peers.update_receivers();
         for (position, update) in updates.iter().enumerate() {
             if position > 0 {
@@ -203,16 +207,18 @@
         }
         for (receiver, zone) in receivers {
             let zone = Some(&zone);
-            for crash in crashes.iter().chain(&forwarded) {
-                send_gossip(&host, &socket, receiver, zone, Purpose::Crash(crash.clone())).await;
+            for report in reports.iter().chain(&forwarded) {
+                let purpose = Purpose::Report(report.clone());
+                send_gossip(&host, &socket, receiver, zone, purpose).await;
             }
             if facts_only {
                 send_gossip(&host, &socket, receiver, zone, Purpose::Reply).await;
             }
         }
         for receiver in host.peers.other_representatives() {
-            for crash in &crashes {
-                send_gossip(&host, &socket, receiver, None, Purpose::Crash(crash.clone())).await;
+            for report in &reports {
+                let purpose = Purpose::Report(report.clone());
+                send_gossip(&host, &socket, receiver, None, purpose).await;
             }
             if facts_only {
                 send_gossip(&host, &socket, receiver, None, Purpose::Reply).await;
--- a/crates/edge/src/peers/limits.rs
+++ b/crates/edge/src/peers/limits.rs
@@ -67,19 +67,20 @@
 ) -> Vec<Reports> {
     let mut reports = Vec::new();
     for searcher in host.fleet.limited(now) {
+        let run = searcher.entry.run();
         let mut gate = lock(&searcher.gate);
         let Some(limit) = gate.shared_limit() else {
             continue;
         };
         limit.divide(&searcher.entry.id, sharers, interval, now);
-        let report = limit.report(&searcher.entry, now);
+        let report = limit.report(&run, now);
         Event::new("limit_divided")
-            .with("searcher", &report.searcher)
+            .with("searcher", &run.searcher)
             .with("limit", report.limit.unwrap_or(f64::INFINITY))
             .with("demand", report.demand)
             .with("rate", limit.part().rate)
             .debug();
-        let to_zones = limit.zone_report(&searcher.entry, &sharers.own_zone, now);
+        let to_zones = limit.zone_report(&run, &sharers.own_zone, now);
         reports.push(Reports { to_hosts: report, to_zones });
     }
     reports
--- a/crates/edge/src/peers/members.rs
+++ b/crates/edge/src/peers/members.rs
@@ -19,12 +19,12 @@
 use galenaloft_policy::membership::MemberTable;
 use galenaloft_policy::membership::ZoneGossip;
 use galenaloft_policy::notice::LimitSharers;
-use galenaloft_policy::quarantine::Crash;
 use galenaloft_policy::routing::SharingHosts;
 use galenaloft_runtime::membership::log_changes;
 use galenaloft_runtime::sync::lock;
 use rand::seq::SliceRandom;
 
+use crate::peers::Report;
 use crate::peers::StoreUpdate;
 
 /// Fewest hosts among which connections and budgets are divided, however few are known: a host that
@@ -76,11 +76,11 @@
     other_zones_cursor: Mutex<usize>,
     /// Store update that is not sent yet.
     pending_update: Mutex<Option<StoreUpdate>>,
-    /// Crashes that are not sent yet.
-    pending_crashes: Mutex<Vec<Crash>>,
-    /// Crashes reported by another zone that are not sent to this zone yet.
-    forwarded_crashes: Mutex<Vec<Crash>>,
-    /// Wakes the task that sends pending updates and crashes, and that announces this host's state
+    /// Reports on searchers that are not sent yet.
+    pending_reports: Mutex<Vec<Report>>,
+    /// Reports of another zone that are not sent to this zone yet.
+    forwarded_reports: Mutex<Vec<Report>>,
+    /// Wakes the task that sends pending updates and reports, and that announces this host's state
     /// when it is leaving.
     pub send_requested: tokio::sync::Notify,
 }
@@ -109,8 +109,8 @@
             own_zone_cursor: Mutex::new(incarnation as usize & 0xffff),
             other_zones_cursor: Mutex::new(incarnation as usize & 0xffff),
             pending_update: Mutex::new(None),
-            pending_crashes: Mutex::default(),
-            forwarded_crashes: Mutex::default(),
+            pending_reports: Mutex::default(),
+            forwarded_reports: Mutex::default(),
             send_requested: tokio::sync::Notify::new(),
         }
     }
@@ -386,7 +386,7 @@
         alive.filter(|fact| fact.host < *own_id).count()
     }
 
-    /// Returns the hosts to which this one sends store updates and crashes, with their zones.
+    /// Returns the hosts to which this one sends store updates and reports, with their zones.
     pub fn update_receivers(&self) -> Vec<(SocketAddr, ZoneId)> {
         let table = lock(&self.table);
         let own_id = &table.own().host;
@@ -430,26 +430,26 @@
         lock(&self.pending_update).take()
     }
 
-    /// Queues a searcher's crash for sending.
-    pub fn publish_crash(&self, crash: Crash) {
-        lock(&self.pending_crashes).push(crash);
+    /// Queues a report on a searcher for sending.
+    pub fn publish(&self, report: Report) {
+        lock(&self.pending_reports).push(report);
         self.send_requested.notify_one();
     }
 
-    /// Removes and returns the queued crashes.
-    pub fn take_crashes(&self) -> Vec<Crash> {
-        std::mem::take(&mut *lock(&self.pending_crashes))
+    /// Removes and returns the queued reports.
+    pub fn take_reports(&self) -> Vec<Report> {
+        std::mem::take(&mut *lock(&self.pending_reports))
     }
 
-    /// Queues a crash that another zone reported, for sending to the hosts of this zone.
-    pub fn forward_crash(&self, crash: Crash) {
-        lock(&self.forwarded_crashes).push(crash);
+    /// Queues a report of another zone, for sending to the hosts of this zone.
+    pub fn forward(&self, report: Report) {
+        lock(&self.forwarded_reports).push(report);
         self.send_requested.notify_one();
     }
 
-    /// Removes and returns the queued crashes that another zone reported.
-    pub fn take_forwarded_crashes(&self) -> Vec<Crash> {
-        std::mem::take(&mut *lock(&self.forwarded_crashes))
+    /// Removes and returns the queued reports of other zones.
+    pub fn take_forwarded_reports(&self) -> Vec<Report> {
+        std::mem::take(&mut *lock(&self.forwarded_reports))
     }
 
     /// Marks this host as leaving and announces that to the other hosts.
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -6,6 +6,7 @@
 use galenaloft_policy::directory::Change;
 use galenaloft_policy::directory::RevisionedChange;
 use galenaloft_policy::directory::SearcherEntry;
+use galenaloft_policy::directory::SearcherRun;
 use galenaloft_policy::ids::ConfigVersion;
 use galenaloft_policy::ids::Rank;
 use galenaloft_policy::ids::RouteName;
@@ -48,12 +49,21 @@
     /// Passes on changes that the sender read from the store.
     #[serde(rename = "News")]
     StoreUpdate(StoreUpdate),
-    /// Reports that a searcher process ended while it ran a request.
-    Crash(Crash),
+    /// Reports what the sender saw of a searcher.
+    Report(Report),
     /// Reports the limits of searchers, and the demand for them.
     Limits(Vec<LimitReport>),
 }
 
+/// What a host saw of a searcher and other hosts need to know.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Report {
+    /// It ended while it ran a request.
+    Crash(Crash),
+    /// It stated in an answer that it is leaving.
+    Leaving(SearcherRun),
+}
+
 /// Changes of the store between two revisions.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct StoreUpdate {
@@ -116,6 +126,8 @@
     pub config: Option<Configuration>,
     /// Entries of all listed searchers, with their revisions.
     pub searchers: Vec<RevisionedChange>,
+    /// Those of the listed searchers that stated that they are leaving.
+    pub leaving: Vec<SearcherRun>,
     /// Revision up to which the changes are known.
     pub revision: StoreRevision,
     /// Time since the store was last known to be at that revision.
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -15,6 +15,7 @@
 pub use messages::GroupQuery;
 pub use messages::GroupReply;
 pub use messages::GroupShard;
+pub use messages::Report;
 pub use messages::StoreUpdate;
 pub use messages::StoreView;
 pub use relay::GroupFailure;
--- a/crates/edge/src/query/crash_check.rs
+++ b/crates/edge/src/query/crash_check.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 
 use crate::host::Host;
+use crate::peers::Report;
 use crate::query::RoutedRequest;
 use crate::searchers::Searcher;
 
@@ -40,7 +41,7 @@
             searcher: searcher.entry.id.clone(),
         };
         if host.record_crash(crash.clone(), now()) {
-            host.peers.publish_crash(crash);
+            host.peers.publish(Report::Crash(crash));
         }
     });
 }
--- a/crates/edge/src/searchers/fleet.rs
+++ b/crates/edge/src/searchers/fleet.rs
@@ -7,10 +7,10 @@
 
 use galenaloft_policy::directory::Directory;
 use galenaloft_policy::directory::SearcherEntry;
+use galenaloft_policy::directory::SearcherRun;
 use galenaloft_policy::directory::SearcherState;
 use galenaloft_policy::ids::HostId;
 use galenaloft_policy::ids::SearcherId;
-use galenaloft_policy::ids::SearcherStartTime;
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::ids::ZoneId;
 use galenaloft_policy::notice::LeavingRuns;
@@ -220,9 +220,11 @@
         }
     }
 
-    /// Takes over what a searcher stated about itself in an answer.
-    pub fn record_notice(&self, searcher: &Arc<Searcher>, notice: &Notice, now: Instant) {
-        if notice.leaving && lock(&self.leaving).record(&searcher.entry) {
+    /// Takes over what a searcher stated about itself in an answer. Returns whether the other hosts
+    /// have to be told that it is leaving.
+    pub fn record_notice(&self, searcher: &Arc<Searcher>, notice: &Notice, now: Instant) -> bool {
+        let leaves = notice.leaving && lock(&self.leaving).record(&searcher.entry.run());
+        if leaves {
             log_change("searcher_leaving", &searcher.entry);
             searcher.drain();
         }
@@ -236,12 +238,28 @@
         if change.limited {
             self.record_limit_change(searcher);
         }
+        leaves
+    }
+
+    /// Takes over that a run is leaving, as another host reported. Returns whether that is new.
+    pub fn record_leaving(&self, run: &SearcherRun) -> bool {
+        let is_new = lock(&self.leaving).record(run);
+        if is_new && let Some(searcher) = self.find_run(run) {
+            log_change("searcher_leaving", &searcher.entry);
+            searcher.drain();
+        }
+        is_new
+    }
+
+    /// Returns whether a run is leaving.
+    pub fn is_leaving(&self, run: &SearcherRun) -> bool {
+        lock(&self.leaving).contains(run)
     }
 
     /// Takes over what another host reported about the limits of searchers.
     pub fn record_limit_reports(&self, host: &HostId, reports: &[LimitReport], now: Instant) {
         for report in reports {
-            let Some(searcher) = self.find_run(&report.searcher, report.start_time) else {
+            let Some(searcher) = self.find_run(&report.run) else {
                 continue;
             };
             if lock(&searcher.gate).record_report(host, report, now) {
@@ -251,11 +269,11 @@
     }
 
     /// Returns a run of a searcher if it is listed. Those that have a limit are found first.
-    fn find_run(&self, id: &SearcherId, start_time: SearcherStartTime) -> Option<Arc<Searcher>> {
+    fn find_run(&self, run: &SearcherRun) -> Option<Arc<Searcher>> {
         let is_run = |searcher: &Arc<Searcher>| {
-            searcher.entry.id == *id && searcher.entry.start_time == start_time
+            searcher.entry.id == run.searcher && searcher.entry.start_time == run.start_time
         };
-        let limited = lock(&self.limited).get(id).cloned().filter(is_run);
+        let limited = lock(&self.limited).get(&run.searcher).cloned().filter(is_run);
         limited.or_else(|| {
             let services = self.services().into_iter();
             services.flat_map(|(_, service)| service.searchers()).find(is_run)
@@ -303,10 +321,10 @@
                     Arc::new(Searcher::new(entry.clone(), local))
                 }
             };
-            if entry.state == SearcherState::Draining && lock(&self.leaving).record(entry) {
+            if entry.state == SearcherState::Draining && lock(&self.leaving).record(&entry.run()) {
                 log_change("searcher_draining", entry);
             }
-            if lock(&self.leaving).contains(entry) {
+            if lock(&self.leaving).contains(&entry.run()) {
                 searcher.drain();
             }
             listed.entry(entry.service.clone()).or_default().push(searcher);
--- a/crates/edge/src/store/reader.rs
+++ b/crates/edge/src/store/reader.rs
@@ -280,6 +280,9 @@
         if self.revision > 0 || view.revision == 0 {
             return;
         }
+        for run in &view.leaving {
+            self.host.fleet.record_leaving(run);
+        }
         let now = now();
         let changed = self.directory.replace(view.searchers, view.revision, now);
         self.revision = view.revision;
--- a/crates/policy/src/directory/entry.rs
+++ b/crates/policy/src/directory/entry.rs
@@ -20,6 +20,15 @@
     Draining,
 }
 
+/// One run of a searcher process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SearcherRun {
+    /// Id of the searcher.
+    pub searcher: SearcherId,
+    /// Time at which it started.
+    pub start_time: SearcherStartTime,
+}
+
 /// Registration entry of one searcher, without the fields that change with each heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SearcherEntry {
@@ -43,6 +52,11 @@
 }
 
 impl SearcherEntry {
+    /// Returns the run that the entry describes.
+    pub fn run(&self) -> SearcherRun {
+        SearcherRun { searcher: self.id.clone(), start_time: self.start_time }
+    }
+
     /// Returns whether both entries describe the same run of the same searcher process.
     pub fn is_same_run(&self, other: &Self) -> bool {
         self.id == other.id
--- a/crates/policy/src/directory/mod.rs
+++ b/crates/policy/src/directory/mod.rs
@@ -6,6 +6,7 @@
 mod tests;
 
 pub use entry::SearcherEntry;
+pub use entry::SearcherRun;
 pub use entry::SearcherState;
 pub use listing::Change;
 pub use listing::ChangeEffect;
--- a/crates/policy/src/notice/leaving_runs.rs
+++ b/crates/policy/src/notice/leaving_runs.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::directory::SearcherEntry;
+use crate::directory::SearcherRun;
 use crate::ids::SearcherId;
 use crate::ids::SearcherStartTime;
 
@@ -20,8 +20,8 @@
 
 impl LeavingRuns {
     /// Records that a run is leaving. Returns whether that is new.
-    pub fn record(&mut self, entry: &SearcherEntry) -> bool {
-        if self.contains(entry) {
+    pub fn record(&mut self, run: &SearcherRun) -> bool {
+        if self.contains(run) {
             return false;
         }
         if self.runs.len() >= MAX_RUNS {
@@ -30,12 +30,12 @@
                 self.runs.remove(&id);
             }
         }
-        self.runs.insert(entry.id.clone(), entry.start_time);
+        self.runs.insert(run.searcher.clone(), run.start_time);
         true
     }
 
-    /// Returns whether the run of the entry is leaving.
-    pub fn contains(&self, entry: &SearcherEntry) -> bool {
-        self.runs.get(&entry.id) == Some(&entry.start_time)
+    /// Returns whether a run is leaving.
+    pub fn contains(&self, run: &SearcherRun) -> bool {
+        self.runs.get(&run.searcher) == Some(&run.start_time)
     }
 }
--- a/crates/policy/src/notice/limit/report.rs
+++ b/crates/policy/src/notice/limit/report.rs
@@ -5,18 +5,15 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::directory::SearcherRun;
 use crate::ids::RequestRate;
-use crate::ids::SearcherId;
-use crate::ids::SearcherStartTime;
 use crate::ids::ZoneId;
 
 /// Limit of a searcher and demand for it, as known to one host.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LimitReport {
-    /// The searcher.
-    pub searcher: SearcherId,
-    /// Start time of the run of the searcher that stated the limit.
-    pub start_time: SearcherStartTime,
+    /// The searcher that stated the limit.
+    pub run: SearcherRun,
     /// The limit that it stated last; `None` if it stated that it has none any more.
     pub limit: Option<RequestRate>,
     /// Time since it stated that.
--- a/crates/policy/src/notice/limit/shared.rs
+++ b/crates/policy/src/notice/limit/shared.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::directory::SearcherEntry;
+use crate::directory::SearcherRun;
 use crate::ids::HostId;
 use crate::ids::RequestRate;
 use crate::ids::SearcherId;
@@ -203,10 +203,9 @@
     }
 
     /// Returns what this host reports to the others of its zone or, in a small fleet, to all.
-    pub fn report(&self, entry: &SearcherEntry, now: Instant) -> LimitReport {
+    pub fn report(&self, run: &SearcherRun, now: Instant) -> LimitReport {
         LimitReport {
-            searcher: entry.id.clone(),
-            start_time: entry.start_time,
+            run: run.clone(),
             limit: self.limit,
             age: now.saturating_duration_since(self.stated_at),
             demand: self.reported_demand,
@@ -216,14 +215,9 @@
     }
 
     /// Returns what this host reports to hosts of other zones in a large fleet.
-    pub fn zone_report(
-        &self,
-        entry: &SearcherEntry,
-        own_zone: &ZoneId,
-        now: Instant,
-    ) -> LimitReport {
+    pub fn zone_report(&self, run: &SearcherRun, own_zone: &ZoneId, now: Instant) -> LimitReport {
         let zone_demand = Some((own_zone.clone(), self.zone_demand));
-        LimitReport { zone_demand, passed_on: Vec::new(), ..self.report(entry, now) }
+        LimitReport { zone_demand, passed_on: Vec::new(), ..self.report(run, now) }
     }
 
     fn tokens_at(&self, now: Instant) -> f64 {
--- a/crates/policy/src/notice/limit/tests.rs
+++ b/crates/policy/src/notice/limit/tests.rs
@@ -8,8 +8,7 @@
 use super::division::Demands;
 use super::division::divide_limit;
 use super::*;
-use crate::directory::SearcherEntry;
-use crate::directory::SearcherState;
+use crate::directory::SearcherRun;
 use crate::ids::HostId;
 use crate::ids::RequestRate;
 use crate::ids::ZoneId;
@@ -34,17 +33,8 @@
     format!("h{number}").into()
 }
 
-fn entry() -> SearcherEntry {
-    SearcherEntry {
-        id: "s1".into(),
-        service: "s".into(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        zone: "z0".into(),
-        slots: 2,
-        state: SearcherState::Ready,
-        warmup_left: Duration::ZERO,
-        start_time: 1,
-    }
+fn run() -> SearcherRun {
+    SearcherRun { searcher: "s1".into(), start_time: 1 }
 }
 
 /// One host of a played fleet.
@@ -177,9 +167,9 @@
         let Some(limit) = self.hosts[number].gate.shared_limit() else {
             return;
         };
-        limit.divide(&entry().id, &sharers, interval, now);
-        let report = limit.report(&entry(), now);
-        let zone_report = limit.zone_report(&entry(), &sharers.own_zone, now);
+        limit.divide(&run().searcher, &sharers, interval, now);
+        let report = limit.report(&run(), now);
+        let zone_report = limit.zone_report(&run(), &sharers.own_zone, now);
         let zone = self.hosts[number].zone;
         // The first hosts of each zone speak for it.
         let zones = self.hosts.iter().map(|host| host.zone).max().unwrap() + 1;
