Report leaving searchers to other hosts only while the store is not current

When an index is cut anew, hundreds of searchers leave within a second, and every host that hears one of them would send a datagram to all hosts of its zone, although their entries tell the same within a second. The reports matter only while changes of the store are not read.

--- a/bin/galenaloft-edge/tests/edge/notices.rs
+++ b/bin/galenaloft-edge/tests/edge/notices.rs
@@ -69,6 +69,7 @@
     let told = Edge::start_ready(&platform, "a", 1, 28460).await;
     let other = Edge::start_ready(&platform, "a", 2, 28460).await;
     platform.store.set_fault(StoreFault::Silent);
+    sleep(2_500 * MS).await;
     let leaving = &platform.singles[0];
     leaving.state_in_answers(&[("Server-Leaving", "1")]);
     tell(&told, leaving).await;
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -61,6 +61,10 @@
 /// its memory.
 const MAX_LATENCY_ESTIMATES: usize = 64;
 
+/// Age up to which what is known of the store counts as current: a little more than the time between
+/// two reads of it.
+const MAX_STORE_AGE: Duration = Duration::from_secs(2);
+
 /// The searchers that the store listed at one point in time.
 #[derive(Debug, Clone)]
 pub struct KnownSearchers {
@@ -291,11 +295,20 @@
                 .warn();
             self.metrics.invalid_notice();
         }
-        if self.fleet.record_notice(searcher, &notice, now) {
+        // Otherwise the other hosts learn it from the store, where it is about to be too.
+        if self.fleet.record_notice(searcher, &notice, now) && !self.knows_current_store(now) {
             self.peers.publish(Report::Leaving(searcher.entry.run()));
         }
     }
 
+    /// Returns whether changes of the store are read, by this host or by others that pass them on.
+    fn knows_current_store(&self, now: Instant) -> bool {
+        let known = lock(&self.known_searchers);
+        known
+            .as_ref()
+            .is_some_and(|known| now.saturating_duration_since(known.as_of) <= MAX_STORE_AGE)
+    }
+
     /// Returns the configuration and the list of searchers that this host has, or `None` if it has
     /// no list of searchers yet.
     pub fn store_view(&self) -> Option<StoreView> {
