Read everything when the store is silent about changes, instead of assuming an outage

Callers saw: requests sent to a searcher up to 4.9 s after it left without a word in the store; its process had ended, so that attempts at it failed for 1.4 s.

Cause: a read of changes that was not answered in 0.7 s counted as an outage of the store. A missing entry may have expired in an outage, so that its searcher was used until 2.3 s after the store was back. Before the store loses its history it is silent about changes for a second, while it answers everything else.

Change: after a silent read of changes everything is read at once. If that is answered there was no outage, and a missing entry is gone. If most entries are missing at once, they count as expired as before.

--- a/bin/galenaloft-edge/tests/edge/changes.rs
+++ b/bin/galenaloft-edge/tests/edge/changes.rs
@@ -327,3 +327,26 @@
         sleep(150 * MS).await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn searcher_that_left_while_changes_were_silent_gets_no_request_after_three_seconds() {
+    let platform = start_platform().await;
+    let hosts = three_hosts(&platform, 28470).await;
+    sleep(1_000 * MS).await;
+    let leaving = &platform.singles[0];
+    platform.singles[1].set_work(20 * MS);
+    platform.store.set_fault(StoreFault::SilentChanges);
+    leaving.deregister();
+    let left_at = Instant::now();
+    sleep(1_200 * MS).await;
+    platform.store.compact();
+    platform.store.set_fault(StoreFault::None);
+    while left_at.elapsed() < 6_000 * MS {
+        for host in &hosts {
+            assert_eq!(host.get(FETCH_PATH).await.status, 200);
+        }
+        sleep(50 * MS).await;
+    }
+    let late = leaving.arrivals().iter().filter(|a| a.at > left_at + 3_000 * MS).count();
+    assert_eq!(late, 0);
+}
--- a/crates/edge/src/store/reader.rs
+++ b/crates/edge/src/store/reader.rs
@@ -100,11 +100,23 @@
 impl StoreReader {
     /// Reads what changed in the store since the last read, or everything if no revision is known.
     async fn read_store(&mut self) {
-        let started_at = now();
-        let result = match self.revision {
+        let mut started_at = now();
+        let mut result = match self.revision {
             0 => self.read_all().await,
             after => self.read_changes(after).await,
         };
+        // The store may be silent about changes only, before it loses their history. That is no outage
+        // in which entries expire.
+        if let Err(e) = &result
+            && e.is_silence()
+            && self.revision > 0
+            && !self.store_failed
+        {
+            Event::new("store_changes_silent").with("why", e).info();
+            started_at = now();
+            self.freshness = Freshness::Current;
+            result = self.read_all().await;
+        }
         let ended_at = now();
         match result {
             Ok(()) => {
@@ -244,7 +256,7 @@
         }
         let received_at = now();
         if let Some(at) = update.returned_ago.and_then(|ago| received_at.checked_sub(ago)) {
-            self.directory.record_recovery_seen_by_peer(at);
+            self.directory.record_unnoticed_outage(at);
         }
         let changes = self.apply(update.changes, received_at);
         // If changes before these are missing, the revision stays and the next read fetches them.
--- a/crates/policy/src/directory/listing.rs
+++ b/crates/policy/src/directory/listing.rs
@@ -95,9 +95,9 @@
         self.may_have_expired(now).then(|| now.saturating_duration_since(recovered_at))
     }
 
-    /// Records that another host saw the store recover at `at`. This host may not have queried the
-    /// store during the outage.
-    pub fn record_recovery_seen_by_peer(&mut self, at: Instant) {
+    /// Records an outage of the store that ended at `at` and that this host may not have noticed, since
+    /// it did not query the store meanwhile.
+    pub fn record_unnoticed_outage(&mut self, at: Instant) {
         self.store_failed_at.get_or_insert(at);
         self.store_recovered_at = Some(self.store_recovered_at.map_or(at, |known| known.max(at)));
     }
@@ -134,8 +134,9 @@
         }
     }
 
-    /// Replaces the whole list with the entries read from the store at `revision` or later. Returns
-    /// whether the list changed.
+    /// Replaces the whole list with the entries read from the store at `revision` or later. If most
+    /// entries are missing from it, they may have expired in an outage of the store that this host
+    /// did not notice. Returns whether the list changed.
     pub fn replace(
         &mut self,
         entries: Vec<RevisionedChange>,
@@ -144,6 +145,7 @@
     ) -> bool {
         let mut missing: BTreeMap<SearcherId, StoreRevision> =
             self.listed.iter().map(|(id, listed)| (id.clone(), listed.revision)).collect();
+        let known = missing.len();
         let mut changed = false;
         for entry_change in entries {
             if let Change::Written(entry) = &entry_change.change {
@@ -153,6 +155,10 @@
         }
         // An entry that was written after the read began may be missing from it.
         missing.retain(|_, written| *written <= revision);
+        if missing.len() * 2 > known {
+            // Most entries went at once, as happens when they expire and not when searchers leave.
+            self.record_unnoticed_outage(now);
+        }
         for id in missing.keys() {
             changed |= self.remove(id, revision, now) == ChangeEffect::Changed;
         }
--- a/crates/policy/src/directory/tests.rs
+++ b/crates/policy/src/directory/tests.rs
@@ -120,7 +120,7 @@
     let update_received = now + ms(900);
     let since_recovery = reader.time_since_store_recovery(update_received);
     assert_eq!(since_recovery, Some(ms(400)));
-    listener.record_recovery_seen_by_peer(update_received - ms(400));
+    listener.record_unnoticed_outage(update_received - ms(400));
     assert_eq!(listener.apply(removed("a", 2), update_received), ChangeEffect::Expired);
     assert!(!listener.drop_expired(now + ms(2_700)));
     assert!(listener.drop_expired(now + ms(2_900)));
@@ -143,3 +143,22 @@
     assert_eq!(directory.apply(change, now), ChangeEffect::Changed);
     assert_eq!(directory.entries().collect::<Vec<_>>(), [&restarted]);
 }
+
+#[test]
+fn entries_that_are_missing_at_once_may_have_expired_if_they_are_most_of_the_list() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    for (id, revision) in [("a", 1), ("b", 2), ("c", 3), ("d", 4)] {
+        directory.apply(written(id, SearcherState::Ready, revision), now);
+    }
+    assert!(directory.replace(
+        ["b", "c", "d"].map(|id| written(id, SearcherState::Ready, 4)).into(),
+        5,
+        now
+    ));
+    assert_eq!(ids(&directory), ["b", "c", "d"]);
+    assert!(!directory.replace(vec![written("b", SearcherState::Ready, 4)], 6, now));
+    assert_eq!(ids(&directory), ["b", "c", "d"]);
+    assert!(directory.drop_expired(now + Duration::from_millis(2_400)));
+    assert_eq!(ids(&directory), ["b"]);
+}
