A limit beyond any number of hosts does not overflow the number of its parts

Callers saw: nothing; a searcher that states an absurd limit (1 followed by 300 digits) would have ended the host in a debug build, and got one host's requests only in a release build.

Evidence: sharers_that_have_reported_nothing_keep_an_equal_part overflowed with 1e300 before, and passes now. The order of health checks no longer multiplies unchecked either.

--- a/crates/policy/src/notice/limit/division.rs
+++ b/crates/policy/src/notice/limit/division.rs
@@ -91,7 +91,7 @@
     demands: &Demands,
 ) -> Option<RequestRate> {
     let mut sharers: Vec<&HostId> = sharers.into_iter().collect();
-    let parts = min_parts + (limit * PARTS_PER_RATE) as usize;
+    let parts = min_parts.saturating_add((limit * PARTS_PER_RATE) as usize);
     if parts < sharers.len() {
         let known = sharers.iter().filter_map(|sharer| demands.get(*sharer));
         let average = known.clone().sum::<f64>() / known.count().max(1) as f64;
--- a/crates/policy/src/notice/limit/shared.rs
+++ b/crates/policy/src/notice/limit/shared.rs
@@ -27,6 +27,13 @@
 /// still holds. Without a part of the limit, no request would show that.
 const MAX_STATEMENT_AGE: Duration = Duration::from_secs(2);
 
+/// Number of report intervals by which each host checks later than the one before it, so that it has
+/// heard by then what that one found.
+const CHECK_DELAY_INTERVALS: u32 = 2;
+
+/// Hosts of one zone that come before those of the next one in the order of health checks.
+const CHECKERS_PER_ZONE: u32 = 2;
+
 /// Longest wait for a part of the limit that is stated to callers.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
@@ -158,7 +165,8 @@
     /// holds, and counts that as a check. Hosts that come later in the order wait longer, so that
     /// usually only one of them checks.
     pub fn begin_check(&mut self, now: Instant) -> bool {
-        let max_age = MAX_STATEMENT_AGE + self.report_interval * 2 * self.check_position;
+        let delay = self.report_interval * CHECK_DELAY_INTERVALS;
+        let max_age = MAX_STATEMENT_AGE + delay.saturating_mul(self.check_position);
         let known_at = self.checked_at.map_or(self.stated_at, |at| at.max(self.stated_at));
         let is_due = self.limit.is_some() && now.saturating_duration_since(known_at) >= max_age;
         if is_due {
@@ -239,13 +247,11 @@
 /// its zone, and that of its zone among all zones.
 fn check_position(searcher: &SearcherId, sharers: &LimitSharers) -> u32 {
     let position = |sharers: Vec<&HostId>, own: &HostId| {
-        sharers.iter().position(|sharer| *sharer == own).unwrap_or(sharers.len())
+        let before = sharers.iter().take_while(|sharer| **sharer != own).count();
+        u32::try_from(before).unwrap_or(u32::MAX)
     };
     let zones = sharers.other_zones.iter().chain([&sharers.own_zone]);
     let zone = position(rank_hosts(searcher, zones), &sharers.own_zone);
     let host = position(rank_hosts(searcher, &sharers.hosts), &sharers.own);
-    u32::try_from(zone * MAX_CHECKERS_PER_ZONE + host).unwrap_or(u32::MAX)
+    zone.saturating_mul(CHECKERS_PER_ZONE).saturating_add(host)
 }
-
-/// Hosts of one zone that come before those of the next one in the order of health checks.
-const MAX_CHECKERS_PER_ZONE: usize = 2;
--- a/crates/policy/src/notice/limit/tests.rs
+++ b/crates/policy/src/notice/limit/tests.rs
@@ -289,6 +289,7 @@
     assert_eq!(part(40.0, &[(0, 2.0), (1, 6.0), (2, 4.0), (3, 20.0)]), 4.0);
     assert_eq!(part(40.0, &[(0, 0.0), (1, 60.0), (2, 0.0), (3, 0.0)]), 0.0);
     assert_eq!(part(0.0, &[(0, 5.0)]), 0.0);
+    assert_eq!(part(1e300, &[]), 2.5e299);
 }
 
 #[test]
