--- a/tools/soak/src/notices.rs
+++ b/tools/soak/src/notices.rs
@@ -90,15 +90,12 @@
     /// Begins to make the statement.
     pub fn begin(self, searcher: &Searcher) {
         match self {
-            Self::Leaving => searcher.state_in_answers(&[("Server-Leaving", "1")]),
+            Self::Leaving => searcher.state_leaving(),
             Self::Pause(pause) => {
                 searcher.set_fault(Fault::Busy);
-                let seconds = pause.as_secs_f64().to_string();
-                searcher.state_in_answers(&[("Retry-After", &seconds)]);
-            }
-            Self::Limit(limit) => {
-                searcher.state_in_answers(&[("Server-Limit", &limit.to_string())]);
+                searcher.state_pause(pause);
             }
+            Self::Limit(limit) => searcher.state_limit(limit),
         }
     }
 
