--- a/crates/edge/src/searchers/mod.rs
+++ b/crates/edge/src/searchers/mod.rs
@@ -3,14 +3,16 @@
 
 mod fleet;
 mod lease;
+mod notices;
 mod searcher;
+mod service;
 #[cfg(test)]
 mod tests;
 
-pub use fleet::Candidates;
-pub use fleet::Choice;
 pub use fleet::Fleet;
-pub use fleet::Service;
-pub use fleet::ZoneScope;
 pub use lease::Lease;
 pub use searcher::Searcher;
+pub use service::Candidates;
+pub use service::Choice;
+pub use service::Service;
+pub use service::ZoneScope;
