--- a/tools/soak/src/check.rs
+++ b/tools/soak/src/check.rs
@@ -27,7 +27,7 @@
 const CONFIG_BOUND: Duration = Duration::from_secs(3);
 
 /// Time after which a leaving searcher gets nothing more.
-const DRAIN_BOUND: Duration = Duration::from_secs(3);
+pub(crate) const DRAIN_BOUND: Duration = Duration::from_secs(3);
 
 /// Longest time for which a request may wait beyond its route's timeout.
 const HELD_BOUND: Duration = Duration::from_millis(500);
--- a/tools/soak/src/notices.rs
+++ b/tools/soak/src/notices.rs
@@ -8,10 +8,9 @@
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
-const MS: Duration = Duration::from_millis(1);
+use crate::check::DRAIN_BOUND;
 
-/// Time after which a searcher that states that it is leaving gets nothing more.
-const DRAIN_BOUND: Duration = Duration::from_secs(3);
+const MS: Duration = Duration::from_millis(1);
 
 /// Time after a refusal from which a pause holds.
 const PAUSE_GRACE: Duration = Duration::from_millis(500);
