--- a/tools/soak/src/edge.rs
+++ b/tools/soak/src/edge.rs
@@ -12,12 +12,17 @@
 use std::process::Stdio;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use galenaloft_platform_standin::caller::Caller;
 pub use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
+use tokio::time::timeout;
+
+/// Longest wait for the answer to the balancer's question.
+const READY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Starts so far: each has a settings file of its own, which goes with the process.
 static STARTS: AtomicU32 = AtomicU32::new(1);
@@ -83,8 +88,12 @@
         Ok(Self { child: Some(child), settings, callers: at(0), readiness: at(1) })
     }
 
-    /// Asks as the balancer does.
+    /// Asks as the balancer does, who takes silence for a no.
     pub async fn is_ready(&self) -> bool {
+        timeout(READY_TIMEOUT, self.ask_ready()).await.unwrap_or(false)
+    }
+
+    async fn ask_ready(&self) -> bool {
         let Ok(mut balancer) = Caller::connect(self.readiness).await else {
             return false;
         };
