--- a/crates/edge/src/peers/limits.rs
+++ b/crates/edge/src/peers/limits.rs
@@ -6,6 +6,7 @@
 
 use galenaloft_policy::notice::LimitReport;
 use galenaloft_policy::notice::LimitSharers;
+use galenaloft_policy::notice::report_interval;
 use galenaloft_runtime::clock::now;
 use galenaloft_runtime::clock::sleep_until;
 use galenaloft_runtime::sync::lock;
@@ -16,13 +17,6 @@
 use crate::peers::gossip::send_gossip;
 use crate::peers::messages::Purpose;
 
-/// Shortest time between two reports.
-const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(600);
-
-/// Time between two reports for each host that gets them, so that what a host sends and receives does
-/// not grow with the fleet.
-const REPORT_INTERVAL_PER_HOST: Duration = Duration::from_millis(40);
-
 /// Shortest time until a limit that begins or ends is reported.
 const MIN_CHANGE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -38,8 +32,7 @@
         }
         let started_at = now();
         let sharers = host.peers.limit_sharers(started_at);
-        let host_count = u32::try_from(sharers.hosts.len()).unwrap_or(u32::MAX);
-        let interval = (REPORT_INTERVAL_PER_HOST * host_count).max(MIN_REPORT_INTERVAL);
+        let interval = report_interval(sharers.hosts.len());
         let reports = divide_limits(&host, &sharers, interval, started_at);
         send_reports(&host, &socket, &reports).await;
         tokio::time::sleep(MIN_CHANGE_INTERVAL).await;
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -56,7 +56,7 @@
 }
 
 /// What a host saw of a searcher and other hosts need to know.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Report {
     /// It ended while it ran a request.
     Crash(Crash),
@@ -107,12 +107,9 @@
             }
         }
         self.changes.retain(|RevisionedChange { change, revision }| {
-            let (searcher, entry) = match change {
-                Change::Written(entry) => (&entry.id, Some(entry)),
-                Change::Removed(id) => (id, None),
-            };
-            rewritten.get(searcher).is_none_or(|(last_revision, last)| {
-                revision >= last_revision || entry.is_some_and(|entry| entry.makes_draining(last))
+            rewritten.get(change.searcher()).is_none_or(|(last_revision, last)| {
+                revision >= last_revision
+                    || matches!(change, Change::Written(entry) if entry.makes_draining(last))
             })
         });
     }
--- a/crates/policy/src/directory/entry.rs
+++ b/crates/policy/src/directory/entry.rs
@@ -21,7 +21,7 @@
 }
 
 /// One run of a searcher process.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct SearcherRun {
     /// Id of the searcher.
     pub searcher: SearcherId,
--- a/crates/policy/src/directory/listing.rs
+++ b/crates/policy/src/directory/listing.rs
@@ -29,6 +29,16 @@
     Removed(SearcherId),
 }
 
+impl Change {
+    /// Returns the searcher whose entry changed.
+    pub fn searcher(&self) -> &SearcherId {
+        match self {
+            Self::Written(entry) => &entry.id,
+            Self::Removed(id) => id,
+        }
+    }
+}
+
 /// Effect of a change on the list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChangeEffect {
@@ -105,10 +115,7 @@
     /// Applies one change unless a later change to the same searcher is known.
     pub fn apply(&mut self, revisioned: RevisionedChange, now: Instant) -> ChangeEffect {
         let RevisionedChange { change, revision } = revisioned;
-        let id = match &change {
-            Change::Written(entry) => &entry.id,
-            Change::Removed(id) => id,
-        };
+        let id = change.searcher();
         let listed_revision = self.listed.get(id).map(|listed| listed.revision);
         if listed_revision.max(self.removed.get(id).copied()) > Some(revision) {
             return ChangeEffect::Unchanged;
--- a/crates/policy/src/notice/gate.rs
+++ b/crates/policy/src/notice/gate.rs
@@ -14,7 +14,7 @@
 const MAX_PAUSE: Duration = Duration::from_secs(3_600);
 
 /// What an answer changed about the requests that its searcher takes.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy)]
 pub struct GateChange {
     /// Whether a pause begins.
     pub paused: bool,
@@ -54,9 +54,8 @@
 
     /// Returns when the next request may be sent, or `None` if it may be sent now.
     pub fn opens_at(&self, now: Instant) -> Option<Instant> {
-        let pause_end = self.paused_until.filter(|until| now < *until);
         let next_in_limit = self.limit.as_ref().and_then(|limit| limit.opens_at(now));
-        pause_end.max(next_in_limit)
+        self.pause_end(now).max(next_in_limit)
     }
 
     /// Records that a request is sent.
@@ -79,8 +78,8 @@
     /// Returns whether the searcher's health should be checked now to hear whether its limit still
     /// holds, although the limit may leave no request for that. A paused searcher is not checked.
     pub fn begin_limit_check(&mut self, now: Instant) -> bool {
-        let paused = self.paused_until.is_some_and(|until| now < until);
-        !paused && self.limit.as_mut().is_some_and(|limit| limit.begin_check(now))
+        self.pause_end(now).is_none()
+            && self.limit.as_mut().is_some_and(|limit| limit.begin_check(now))
     }
 
     /// Forgets a limit that ended some time ago. Returns whether a limit has still to be reported.
@@ -89,14 +88,18 @@
         self.limit.is_some()
     }
 
+    /// Returns the end of the pause, or `None` if the searcher is not paused.
+    fn pause_end(&self, now: Instant) -> Option<Instant> {
+        self.paused_until.filter(|until| now < *until)
+    }
+
     /// Returns whether the searcher asks for a pause that begins now.
     fn record_pause(&mut self, pause: Option<Duration>, now: Instant) -> bool {
         let Some(pause) = pause.filter(|pause| !pause.is_zero()) else {
             return false;
         };
-        let is_new = self.paused_until.is_none_or(|until| until <= now);
-        let until = now + pause.min(MAX_PAUSE);
-        self.paused_until = Some(self.paused_until.map_or(until, |known| known.max(until)));
+        let is_new = self.pause_end(now).is_none();
+        self.paused_until = self.paused_until.max(Some(now + pause.min(MAX_PAUSE)));
         is_new
     }
 
--- a/crates/policy/src/notice/leaving_runs.rs
+++ b/crates/policy/src/notice/leaving_runs.rs
@@ -13,7 +13,7 @@
 ///
 /// A run is kept after its entry has gone: the entry may be listed again, and the process may still
 /// accept requests. A searcher that starts again has a new start time and is not leaving.
-#[derive(Debug, Default, Clone)]
+#[derive(Debug, Default)]
 pub struct LeavingRuns {
     runs: BTreeMap<SearcherId, SearcherStartTime>,
 }
--- a/crates/policy/src/notice/limit/division.rs
+++ b/crates/policy/src/notice/limit/division.rs
@@ -23,7 +23,7 @@
 const MIN_PARTS: usize = 2;
 
 /// What one host may send of a searcher's limit.
-#[derive(Debug, Default, Clone, Copy, PartialEq)]
+#[derive(Debug, Default, Clone, Copy)]
 pub struct LimitPart {
     /// Requests a second.
     pub rate: RequestRate,
@@ -32,7 +32,7 @@
 }
 
 /// Hosts that divide the limits of searchers, as seen from one host.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct LimitSharers {
     /// This host.
     pub own: HostId,
--- a/crates/policy/src/notice/limit/mod.rs
+++ b/crates/policy/src/notice/limit/mod.rs
@@ -14,4 +14,5 @@
 pub use division::LimitPart;
 pub use division::LimitSharers;
 pub use report::LimitReport;
+pub use report::report_interval;
 pub use shared::SharedLimit;
--- a/crates/policy/src/notice/limit/report.rs
+++ b/crates/policy/src/notice/limit/report.rs
@@ -9,8 +9,21 @@
 use crate::ids::RequestRate;
 use crate::ids::ZoneId;
 
+/// Shortest time between two reports.
+const MIN_INTERVAL: Duration = Duration::from_millis(600);
+
+/// Time between two reports for each host that gets them, so that what a host sends and receives does
+/// not grow with the fleet.
+const INTERVAL_PER_HOST: Duration = Duration::from_millis(40);
+
+/// Returns the time between two reports of a host if `hosts` hosts report their demand to each other.
+pub fn report_interval(hosts: usize) -> Duration {
+    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+    (INTERVAL_PER_HOST * hosts).max(MIN_INTERVAL)
+}
+
 /// Limit of a searcher and demand for it, as known to one host.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct LimitReport {
     /// The searcher that stated the limit.
     pub run: SearcherRun,
--- a/crates/policy/src/notice/limit/shared.rs
+++ b/crates/policy/src/notice/limit/shared.rs
@@ -115,14 +115,16 @@
         if limit == self.limit {
             return false;
         }
-        self.refill(now);
+        let began_or_ended = self.limit.is_some() != limit.is_some();
         match (self.limit, limit) {
             // The part is kept in proportion until the next division.
-            (Some(old), Some(new)) if old > 0.0 => self.part.rate *= new / old,
-            (None, Some(new)) => *self = Self { limit: None, ..Self::new(new, stated_at, now) },
+            (Some(old), Some(new)) if old > 0.0 => {
+                self.refill(now);
+                self.part.rate *= new / old;
+            }
+            (None, Some(new)) => *self = Self::new(new, stated_at, now),
             (_, _) => {}
         }
-        let began_or_ended = self.limit.is_some() != limit.is_some();
         self.limit = limit;
         began_or_ended
     }
--- a/crates/policy/src/notice/limit/tests.rs
+++ b/crates/policy/src/notice/limit/tests.rs
@@ -71,10 +71,7 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let by_zones = demands.len() > 16;
         let per_zone = demands.len().div_ceil(zones);
-        let report_interval = match by_zones {
-            true => (40 * MS * u32::try_from(per_zone).unwrap()).max(600 * MS),
-            false => 600 * MS,
-        };
+        let report_interval = report_interval(if by_zones { per_zone } else { demands.len() });
         let hosts = demands.iter().enumerate().map(|(number, demand)| Host {
             gate: Gate::default(),
             zone: number % zones,
--- a/crates/policy/src/notice/mod.rs
+++ b/crates/policy/src/notice/mod.rs
@@ -15,5 +15,6 @@
 pub use limit::LimitReport;
 pub use limit::LimitSharers;
 pub use limit::SharedLimit;
+pub use limit::report_interval;
 pub use statement::Notice;
 pub use statement::StatedLimit;
--- a/crates/policy/src/notice/statement.rs
+++ b/crates/policy/src/notice/statement.rs
@@ -5,7 +5,7 @@
 use crate::ids::RequestRate;
 
 /// What an answer states about the limit of its searcher.
-#[derive(Debug, Default, Clone, Copy, PartialEq)]
+#[derive(Debug, Default)]
 pub enum StatedLimit {
     /// Nothing, since the answer is not known to be the searcher's own or its statement is invalid.
     #[default]
@@ -17,7 +17,7 @@
 }
 
 /// Statements of a searcher about itself in one answer, whatever the answer is to.
-#[derive(Debug, Default, Clone, PartialEq)]
+#[derive(Debug, Default)]
 pub struct Notice {
     /// Whether it is leaving and should get no new requests.
     pub leaving: bool,
