--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -1,5 +1,5 @@
-//! Gossip between edge hosts over UDP: probes, facts about hosts, store updates, and
-//! reports on searchers.
+//! Gossip between edge hosts over UDP: probes, facts about hosts, store updates and reports
+//! on searchers.
 
 use std::io;
 use std::net::SocketAddr;
--- a/crates/edge/src/peers/members.rs
+++ b/crates/edge/src/peers/members.rs
@@ -145,7 +145,7 @@
         let heard = lock(&self.last_heard);
         let latest =
             heard.iter().filter(|(host, _)| in_other_zone(host)).map(|(_, at)| *at).max()?;
-        (now.saturating_duration_since(latest) < HOST_TTL).then_some(latest)
+        is_recent(latest, now).then_some(latest)
     }
 
     /// Returns hosts of other zones to ping if those zones have been silent for `ZONE_SILENCE`, so that
@@ -290,10 +290,7 @@
         let table = lock(&self.table);
         let own_zone = &table.own().zone;
         let heard = lock(&self.last_heard);
-        let recently_heard = |host: &HostId| {
-            heard.get(host).is_some_and(|at| now.saturating_duration_since(*at) < HOST_TTL)
-        };
-        let is_counted = |fact: &&HostFact| fact.state.is_active() || recently_heard(&fact.host);
+        let is_counted = |fact: &&HostFact| is_counted(fact, &heard, now);
         let all = self.count_hosts(&table, is_counted, now).max(MIN_ASSUMED_HOSTS);
         let mut zones: BTreeMap<&ZoneId, Vec<(HostId, Capacity)>> = BTreeMap::new();
         for fact in table.active() {
@@ -317,15 +314,11 @@
         let own = table.own();
         let by_zones = self.zone_gossip().is_some();
         let heard = lock(&self.last_heard);
-        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < HOST_TTL;
-        let is_counted = |fact: &&HostFact| {
-            fact.state.is_active() || heard.get(&fact.host).is_some_and(is_recent)
-        };
         let in_scope = |fact: &&HostFact| !by_zones || fact.zone == own.zone;
-        let hosts = table.facts().filter(is_counted).filter(in_scope);
+        let hosts = table.facts().filter(in_scope).filter(|fact| is_counted(fact, &heard, now));
         let sizes = lock(&self.zone_sizes);
         let other_zones =
-            sizes.iter().filter(|(zone, (_, at))| **zone != own.zone && is_recent(at));
+            sizes.iter().filter(|(zone, (_, at))| **zone != own.zone && is_recent(*at, now));
         LimitSharers {
             own: own.host.clone(),
             own_zone: own.zone.clone(),
@@ -351,7 +344,7 @@
         }
         let sizes = lock(&self.zone_sizes);
         for (zone, (size, at)) in sizes.iter().filter(|(zone, _)| **zone != table.own().zone) {
-            if now.saturating_duration_since(*at) < HOST_TTL {
+            if is_recent(*at, now) {
                 let count = counts.entry(zone).or_default();
                 *count = (*count).max(*size as usize);
             }
@@ -459,6 +452,17 @@
     }
 }
 
+/// Returns whether a host that was last heard at `at` still counts.
+fn is_recent(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) < HOST_TTL
+}
+
+/// Returns whether a host counts among those that divide connections, budgets and limits: also one that
+/// seems dead may still send requests.
+fn is_counted(fact: &HostFact, heard: &BTreeMap<HostId, Instant>, now: Instant) -> bool {
+    fact.state.is_active() || heard.get(&fact.host).is_some_and(|at| is_recent(*at, now))
+}
+
 /// Returns the active hosts, this one included, that share what one of them reads from the store. In
 /// a large fleet each zone reads the store for itself, so that the messages of one host do not grow
 /// with the fleet.
--- a/crates/edge/src/query/gather.rs
+++ b/crates/edge/src/query/gather.rs
@@ -1,7 +1,6 @@
 //! Scatter-gather queries over many shards.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -152,15 +151,14 @@
     pub fn query_with_groups(
         &mut self,
         groups: Vec<ShardGroup>,
+        direct: &[usize],
         min_parts: usize,
         objective: Instant,
     ) {
         let now = now();
         let grouped: Vec<usize> = groups.iter().flat_map(|g| &g.shards).copied().collect();
-        let all = 0..self.gather.shards.len();
-        let direct: Vec<usize> = all.filter(|index| !grouped.contains(index)).collect();
         let needed_directly = min_parts.saturating_sub(grouped.len());
-        let queried = self.query_shards(&direct, needed_directly, objective, now);
+        let queried = self.query_shards(direct, needed_directly, objective, now);
         // Skipped shards count as missing, so the groups must deliver all parts that the direct
         // queries cannot contribute to `min_parts`, and a few more since some parts may be lost.
         let needed_from_groups = min_parts.saturating_sub(queried);
@@ -486,25 +484,27 @@
     }
     let started_at = now();
     let groups = group::group_shards(host, request, gather, started_at);
-    let grouped: BTreeSet<usize> = groups.iter().flat_map(|g| &g.shards).copied().collect();
-    let direct = gather.shards.iter().enumerate().filter(|(index, _)| !grouped.contains(index));
-    request.record_demand(host, direct.clone().map(|(_, shard)| shard), started_at);
-    let access = direct.map(|(_, shard)| match host.fleet.service(shard).opens_at(started_at) {
-        Some(at) => ShardAccess::ClosedUntil(at),
-        None => ShardAccess::Open,
-    });
+    let direct = group::direct_shards(gather, &groups);
+    let direct_services = direct.iter().map(|index| &gather.shards[*index]);
+    request.record_demand(host, direct_services.clone(), started_at);
+    let access =
+        direct_services.map(|shard| match host.fleet.service(shard).opens_at(started_at) {
+            Some(at) => ShardAccess::ClosedUntil(at),
+            None => ShardAccess::Open,
+        });
     // What an aggregator may send is known to the aggregator only.
-    if let Some(until) = refuse_until(access, min_parts.saturating_sub(grouped.len())) {
+    let grouped = gather.shards.len() - direct.len();
+    if let Some(until) = refuse_until(access, min_parts.saturating_sub(grouped)) {
         Event::new("refused_by_notices")
             .with("request", &request.inbound.id)
             .with("retry_after_ms", (until - started_at).as_millis())
             .info();
         return Answer::Refused(until - started_at);
     }
-    let wait_policy = new_wait_policy(host, request, gather, &groups);
+    let wait_policy = new_wait_policy(host, request, direct.len(), groups.len());
     let all_listed = vec![Vec::new(); gather.shards.len()];
     let mut query = ScatterGather::new(host, request, gather, all_listed);
-    query.query_with_groups(groups, min_parts, wait_policy.objective());
+    query.query_with_groups(groups, &direct, min_parts, wait_policy.objective());
     let expired = query.collect(&wait_policy, min_parts).await;
     let parts = query.received_parts();
     if parts >= min_parts {
@@ -529,16 +529,14 @@
 fn new_wait_policy(
     host: &Host,
     request: &RoutedRequest,
-    gather: &Gather,
-    groups: &[ShardGroup],
+    direct_shards: usize,
+    groups: usize,
 ) -> WaitPolicy {
     let round_trip = host.settings.caller_round_trip;
     // A caller that opened a connection for the request spent one more round trip on it.
     let connect_time =
         if request.inbound.first_on_connection { round_trip } else { Duration::ZERO };
-    let grouped: usize = groups.iter().map(|group| group.shards.len()).sum();
-    let direct = gather.shards.len().saturating_sub(grouped);
     let overhead =
-        round_trip + connect_time + answer_processing_time(host.capacity(), direct, groups.len());
+        round_trip + connect_time + answer_processing_time(host.capacity(), direct_shards, groups);
     WaitPolicy::new(request.arrived_at, request.route.target_latency, overhead, request.deadline)
 }
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -69,31 +69,37 @@
         true => Vec::new(),
         false => other_zone_groups(host, request, gather, now),
     };
-    let grouped: Vec<usize> = groups.iter().flat_map(|group| &group.shards).copied().collect();
-    let ungrouped = gather.shards.len() - grouped.len();
+    let ungrouped = direct_shards(gather, &groups);
     let share =
         gather.shards.first().map(|shard| request.connection_share(shard, host.sharing_hosts()));
     let time_left =
         (request.arrived_at + request.route.target_latency).saturating_duration_since(now);
     if share.is_some_and(|share| share.uses_aggregators())
-        || is_too_wide(ungrouped, host.capacity(), time_left)
+        || is_too_wide(ungrouped.len(), host.capacity(), time_left)
     {
-        groups.extend(own_zone_groups(host, request, gather, &grouped, now));
+        groups.extend(own_zone_groups(host, request, ungrouped, now));
     }
     groups
 }
 
-/// Distributes the shards that are not in `grouped` among the aggregators of this host's zone.
-/// Shards in none of the returned groups are queried directly.
+/// Returns the indexes of the shards that are in none of the groups, which are queried directly.
+pub fn direct_shards(gather: &Gather, groups: &[ShardGroup]) -> Vec<usize> {
+    let mut is_grouped = vec![false; gather.shards.len()];
+    for index in groups.iter().flat_map(|group| &group.shards) {
+        is_grouped[*index] = true;
+    }
+    (0..gather.shards.len()).filter(|index| !is_grouped[*index]).collect()
+}
+
+/// Distributes the shards in `ungrouped` among the aggregators of this host's zone. Shards in none of
+/// the returned groups are queried directly.
 fn own_zone_groups(
     host: &Host,
     request: &RoutedRequest,
-    gather: &Gather,
-    grouped: &[usize],
+    ungrouped: Vec<usize>,
     now: Instant,
 ) -> Vec<ShardGroup> {
-    let ungrouped = (0..gather.shards.len()).filter(|index| !grouped.contains(index));
-    let mut ungrouped = ungrouped.collect::<Vec<usize>>().into_iter();
+    let mut ungrouped = ungrouped.into_iter();
     let aggregators = host.peers.aggregators_of(&host.settings.zone);
     let capacities = host.relays.usable_capacities(&aggregators, &request.route, now);
     let is_aggregator = host.sharing_hosts().is_aggregator;
--- a/crates/edge/src/searchers/fleet.rs
+++ b/crates/edge/src/searchers/fleet.rs
@@ -83,10 +83,11 @@
                     Arc::new(Searcher::new(entry.clone(), local))
                 }
             };
-            if entry.state == SearcherState::Draining && lock(&self.leaving).record(&entry.run()) {
+            let run = entry.run();
+            if entry.state == SearcherState::Draining && lock(&self.leaving).record(&run) {
                 log_change("searcher_draining", entry);
             }
-            if lock(&self.leaving).contains(&entry.run()) {
+            if self.is_leaving(&run) {
                 searcher.drain();
             }
             listed.entry(entry.service.clone()).or_default().push(searcher);
--- a/crates/edge/src/searchers/service.rs
+++ b/crates/edge/src/searchers/service.rs
@@ -85,7 +85,8 @@
     }
 
     /// Returns the lowest expected latency of a usable searcher that takes requests from this host
-    /// now, in seconds, or `None` if there is no such searcher. `prior` is the expected latency of searchers without observations.
+    /// now, in seconds, or `None` if there is no such searcher. `prior` is the expected latency of
+    /// searchers without observations.
     pub fn best_expected_latency(&self, route: &Route, prior: f64, now: Instant) -> Option<f64> {
         let searchers = lock(&self.searchers);
         let usable = searchers.iter().filter(|s| s.is_usable() && s.opens_at(now).is_none());
@@ -109,10 +110,13 @@
     /// requests only up to a limit.
     pub fn record_demand(&self, route: &Route, prior: f64, now: Instant) {
         let searchers = lock(&self.searchers);
+        if searchers.iter().all(|searcher| lock(&searcher.gate).limit().is_none()) {
+            return;
+        }
         let usable = searchers.iter().filter(|searcher| searcher.is_usable());
-        let preferred =
-            usable.min_by(|a, b| a.cost(route, prior, now).total_cmp(&b.cost(route, prior, now)));
-        if let Some(searcher) = preferred
+        let costs = usable.map(|searcher| (searcher.cost(route, prior, now), searcher));
+        let preferred = costs.min_by(|a, b| a.0.total_cmp(&b.0));
+        if let Some((_, searcher)) = preferred
             && let Some(limit) = lock(&searcher.gate).shared_limit()
         {
             limit.record_demand(now);
