Do not move past a revision of the store without its configuration

Cause: a store update carries the changes of searchers up to a revision, but not the configuration, which is fetched from the sender. Receivers took over the revision at once. Where the fetch failed, their own reads went on behind the revision of the configuration, which never came again.

Change: an update moves a host's revision only if its configuration is at least as new as the sender's. Otherwise the host's own next read returns the configuration; store_update_without_config is logged.

--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -113,7 +113,7 @@
         }
         Purpose::Reply => {}
         Purpose::StoreUpdate(update) => {
-            let _ = notices.send(PeerNotice::StoreUpdate(update));
+            let _ = notices.send(PeerNotice::StoreUpdate { update, config: datagram.config });
         }
         Purpose::Limits(reports) => {
             if let Some(host_id) = sender_id {
--- a/crates/edge/src/store/reader.rs
+++ b/crates/edge/src/store/reader.rs
@@ -54,7 +54,12 @@
         in_own_zone: bool,
     },
     /// Changes that the other host has read.
-    StoreUpdate(StoreUpdate),
+    StoreUpdate {
+        /// The changes.
+        update: StoreUpdate,
+        /// Version of the configuration that the other host has; 0 for none.
+        config: ConfigVersion,
+    },
 }
 
 /// State of the task that reads the store.
@@ -62,7 +67,8 @@
     host: Arc<Host>,
     client: StoreClient,
     directory: Directory,
-    /// Revision up to which the changes are known; 0 if all entries have to be read first.
+    /// Revision up to which the changes of searchers and of the configuration are known; 0 if all
+    /// entries have to be read first.
     revision: StoreRevision,
     schedule: ReadSchedule,
     /// Whether the store has failed since the last successful read.
@@ -75,17 +81,7 @@
 
 /// Follows the store for as long as the process runs, by reading it and by notices of other hosts.
 pub async fn follow(host: Arc<Host>, mut notices: UnboundedReceiver<PeerNotice>) {
-    let client = StoreClient::new(host.settings.store, STORE_TIMEOUT);
-    let mut reader = StoreReader {
-        host,
-        client,
-        directory: Directory::default(),
-        revision: 0,
-        schedule: ReadSchedule::default(),
-        store_failed: false,
-        freshness: Freshness::MayBeOld,
-        catch_up: ConfigCatchUp::default(),
-    };
+    let mut reader = StoreReader::new(host);
     loop {
         let position = reader.host.peers.read_position();
         let next_read = reader.schedule.next_read(position, now());
@@ -98,6 +94,20 @@
 }
 
 impl StoreReader {
+    /// Creates a reader that knows nothing of the store's content.
+    fn new(host: Arc<Host>) -> Self {
+        Self {
+            client: StoreClient::new(host.settings.store, STORE_TIMEOUT),
+            host,
+            directory: Directory::default(),
+            revision: 0,
+            schedule: ReadSchedule::default(),
+            store_failed: false,
+            freshness: Freshness::MayBeOld,
+            catch_up: ConfigCatchUp::default(),
+        }
+    }
+
     /// Reads what changed in the store since the last read, or everything if no revision is known.
     async fn read_store(&mut self) {
         let mut started_at = now();
@@ -203,7 +213,7 @@
                     self.get_newer_configuration(version, peer, in_own_zone).await;
                 }
             }
-            PeerNotice::StoreUpdate(update) => self.apply_update(update),
+            PeerNotice::StoreUpdate { update, config } => self.apply_update(update, config),
         }
     }
 
@@ -250,7 +260,8 @@
     }
 
     /// Applies changes that another host read, unless this host has not loaded the searchers yet.
-    fn apply_update(&mut self, update: StoreUpdate) {
+    /// `sender_config` is the version of that host's configuration.
+    fn apply_update(&mut self, update: StoreUpdate, sender_config: ConfigVersion) {
         if self.revision == 0 {
             return;
         }
@@ -259,8 +270,17 @@
             self.directory.record_unnoticed_outage(at);
         }
         let changes = self.apply(update.changes, received_at);
-        // If changes before these are missing, the revision stays and the next read fetches them.
-        if update.after <= self.revision {
+        // An update does not carry the configuration, which may have changed up to its revision. If
+        // that or an earlier change is missing, the revision stays and the next read fetches it.
+        let own_config = self.host.config_version();
+        if sender_config > own_config {
+            Event::new("store_update_without_config")
+                .with("revision", update.revision)
+                .with("own_revision", self.revision)
+                .with("config", sender_config)
+                .with("own_config", own_config)
+                .info();
+        } else if update.after <= self.revision {
             self.revision = self.revision.max(update.revision);
             self.record_known_up_to(received_at);
         }
@@ -363,3 +383,6 @@
         Event::new("store_item_unreadable").with("item", &item.item).with("why", &item.why).warn();
     }
 }
+
+#[cfg(test)]
+mod tests;
