Record an entity tag only with the text that it belongs to

Cause: galenaloftd's watcher recorded the tag of a text that was published again under its version before it read that text. After a failed read the next watch showed no difference, and the text was not read.

Change: the tag is recorded once the read was answered.

Measured: a_text_published_again_is_read_after_a_failed_read failed before ("no sheet") and passes.

--- a/crates/host/src/publish/watcher.rs
+++ b/crates/host/src/publish/watcher.rs
@@ -112,9 +112,12 @@
         && *version > 0
         && *tag != last_read.tag
     {
-        last_read.tag.clone_from(tag);
+        let tag = tag.clone();
         let previous_version = version - 1;
         watched = node.platform.watch(platform_key(key), previous_version, Duration::ZERO).await;
+        if watched.is_ok() {
+            last_read.tag = tag;
+        }
     }
     match watched {
         Ok(WatchOutcome::Value(value)) => {
@@ -250,3 +253,6 @@
     };
     lock(&node.members).add_listed(fact, now());
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/host/src/publish/watcher/tests.rs
@@ -0,0 +1,92 @@
+use std::collections::VecDeque;
+use std::sync::Mutex;
+
+use galenaloft_config::settings::Settings;
+use galenaloft_control_plane::PlatformError;
+use galenaloft_control_plane::wire::ConfigValue;
+use galenaloft_peer::TcpConnector;
+use galenaloft_policy::ticket::TicketKey;
+use galenaloft_searcher::HttpConnector;
+use tokio::time::Instant;
+
+use super::*;
+use crate::node::Identity;
+
+/// Answers reads of keys from a script, then without change, and records when they came.
+#[derive(Debug, Default)]
+struct ScriptedPlatform {
+    answers: Mutex<VecDeque<Result<WatchOutcome, PlatformError>>>,
+    /// Time and longest wait of each read.
+    reads: Mutex<Vec<(Instant, Duration)>>,
+}
+
+impl PlatformReader for ScriptedPlatform {
+    async fn watch(
+        &self,
+        _: &str,
+        _: Revision,
+        wait: Duration,
+    ) -> Result<WatchOutcome, PlatformError> {
+        lock(&self.reads).push((Instant::now(), wait));
+        let unchanged = WatchOutcome::Unchanged { version: 0, tag: String::new() };
+        lock(&self.answers).pop_front().unwrap_or(Ok(unchanged))
+    }
+
+    async fn hosts(&self, _: &str) -> Result<HostListRead, PlatformError> {
+        Err(PlatformError::TimedOut)
+    }
+}
+
+#[derive(Debug)]
+struct ScriptedNetwork;
+
+impl Network for ScriptedNetwork {
+    type Peers = TcpConnector;
+    type Searchers = HttpConnector;
+    type Platform = ScriptedPlatform;
+}
+
+/// Returns a host named `name` in zone `z`, whose platform answers from a script.
+fn node(
+    name: &str,
+    answers: impl IntoIterator<Item = Result<WatchOutcome, PlatformError>>,
+) -> Arc<Node<ScriptedNetwork>> {
+    let text = format!(
+        "host: {name}\nzone: z\nlisten: {{ callers: \"127.0.0.1:1\", peers: \"127.0.0.1:2\", \
+         operators: \"127.0.0.1:3\" }}\nplatform: 127.0.0.1:4\n"
+    );
+    let settings = Settings::parse("settings", &text).unwrap();
+    let identity = Identity { incarnation: 1, ticket_key: TicketKey(1, 1), generation: 1 };
+    let platform = ScriptedPlatform {
+        answers: Mutex::new(answers.into_iter().collect()),
+        ..ScriptedPlatform::default()
+    };
+    Node::new(settings, identity, TcpConnector, HttpConnector, platform)
+}
+
+fn sheet(worth: u32) -> String {
+    format!(
+        "customer: c\nranks:\n  urgent: {{ order: 1, floor: 30% }}\nkinds:\n  look: {{ operation: \
+         search, collection: entries, rank: urgent, worth: {worth}, deadline: 300ms, \
+         coverage-floor: 60% }}\n"
+    )
+}
+
+fn value(worth: u32) -> WatchOutcome {
+    let key = SHEET_KEY.to_owned();
+    WatchOutcome::Value(ConfigValue { key, version: 1, value: sheet(worth) })
+}
+
+/// Guards against an entity tag that is recorded before the text that it belongs to was read: after a
+/// failed read the text was never read again.
+#[tokio::test]
+async fn a_text_published_again_is_read_after_a_failed_read() {
+    let changed = || WatchOutcome::Unchanged { version: 1, tag: "\"1.b\"".to_owned() };
+    let answers = [Ok(changed()), Err(PlatformError::TimedOut), Ok(changed()), Ok(value(9))];
+    let node = node("h1", answers);
+    let mut last_read = LastRead { version: 1, tag: "\"1.a\"".to_owned() };
+    assert!(!watch(&node, PublishedKey::Sheet, &mut last_read, Duration::ZERO).await);
+    assert!(watch(&node, PublishedKey::Sheet, &mut last_read, Duration::ZERO).await);
+    assert!(node.values.sheet().is_some());
+    assert_eq!(last_read.tag, "\"1.b\"");
+}
