Replace lost watchers of a zone before the next poll

Cause: a galenaloftd host that does not watch a value sleeps 30 s between two reads, and looked only then whether it has to watch. After the loss of both watchers of a zone no host of it watched for up to 31 s; where no other zone is reachable, a new version came as late.

Change: the host looks each 0.5 s while it waits.

Measured: a_host_watches_soon_after_the_watchers_of_its_zone_were_lost failed before (one read in 7 s, none a watch) and passes; the tests of galenaloft-host pass.

--- a/crates/host/src/publish/watcher.rs
+++ b/crates/host/src/publish/watcher.rs
@@ -34,7 +34,8 @@
 /// How long the platform may hold one watch before it replies that nothing has changed.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(8);
 
-/// Pause between two watches of a host that watches a value.
+/// Pause between two watches of a host that watches a value, and between two checks whether a host has
+/// to watch it.
 const READ_PAUSE: Duration = Duration::from_millis(500);
 
 /// Pause after the platform could not be reached. A random part is added to it when a host watches or
@@ -89,12 +90,20 @@
         let watches = is_watcher(&node, platform_key(key));
         let wait = if watches { WATCH_TIMEOUT } else { Duration::ZERO };
         let reached = watch(&node, key, &mut last_read, wait).await;
-        let pause = match (reached, watches) {
-            (true, true) => READ_PAUSE,
-            (true, false) => POLL_PERIOD + node.jitter(MAX_JITTER),
-            (false, _) => RETRY_PAUSE + node.jitter(MAX_JITTER),
-        };
-        sleep(pause).await;
+        match (reached, watches) {
+            (true, true) => sleep(READ_PAUSE).await,
+            (true, false) => wait_to_poll(&node, key).await,
+            (false, _) => sleep(RETRY_PAUSE + node.jitter(MAX_JITTER)).await,
+        }
+    }
+}
+
+/// Waits for the next read of a host that does not watch a key, or until it becomes a watcher because
+/// another one of its zone was lost.
+async fn wait_to_poll<N: Network>(node: &Node<N>, key: PublishedKey) {
+    let next_poll = now() + POLL_PERIOD + node.jitter(MAX_JITTER);
+    while now() < next_poll && !is_watcher(node, platform_key(key)) {
+        sleep(READ_PAUSE).await;
     }
 }
 
--- a/crates/host/src/publish/watcher/tests.rs
+++ b/crates/host/src/publish/watcher/tests.rs
@@ -90,3 +90,46 @@
     assert!(node.values.sheet().is_some());
     assert_eq!(last_read.tag, "\"1.b\"");
 }
+
+/// Adds or updates another host of the zone.
+fn apply_host(node: &Node<ScriptedNetwork>, name: &str, state: HostState) {
+    let fact = HostFact {
+        host: name.into(),
+        zone: "z".into(),
+        address: "127.0.0.1:5".parse().unwrap(),
+        capacity: FULL_CORE_CAPACITY,
+        incarnation: 1,
+        generation: 1,
+        state,
+        adopted: Vec::new(),
+    };
+    lock(&node.members).apply(fact, now());
+}
+
+/// Guards against a value that no host of a zone watches for 30 s after the zone's watchers were lost.
+#[tokio::test(start_paused = true)]
+async fn a_host_watches_soon_after_the_watchers_of_its_zone_were_lost() {
+    let names = ["h1", "h2", "h3"].map(Into::into);
+    let ranked = rank_hosts(SHEET_KEY, names.iter());
+    let [first, second, last] = [0, 1, 2].map(|rank| ranked[rank].to_string());
+    let node = node(&last, []);
+    for watcher in [&first, &second] {
+        apply_host(&node, watcher, HostState::Alive);
+    }
+    let task = tokio::spawn(run_watcher(node.clone(), PublishedKey::Sheet));
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(
+        lock(&node.platform.reads).iter().map(|read| read.1).collect::<Vec<_>>(),
+        [Duration::ZERO]
+    );
+    let lost_at = Instant::now();
+    for watcher in [&first, &second] {
+        apply_host(&node, watcher, HostState::Dead);
+    }
+    sleep(Duration::from_secs(2)).await;
+    let reads = lock(&node.platform.reads).clone();
+    let watches: Vec<_> =
+        reads.iter().filter(|(at, wait)| *at >= lost_at && !wait.is_zero()).collect();
+    assert!(!watches.is_empty(), "{reads:?}");
+    task.abort();
+}
