--- a/bin/galenaloft-edge/tests/edge/changes.rs
+++ b/bin/galenaloft-edge/tests/edge/changes.rs
@@ -63,6 +63,30 @@
     assert_eq!(platform.singles.iter().map(Searcher::runs).sum::<usize>(), before);
 }
 
+/// Guards against a time in a configuration that overflows the clock, after which every request and
+/// every connection of a caller ended in a panic.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_with_endless_times_is_served() {
+    let platform = start_platform().await;
+    let edge = Edge::start_ready(&platform, "a", 1, 28480).await;
+    let mut config = platform.configuration(2);
+    config["routes"][1]["service"] = json!(shard_name(0));
+    for route in [0, 1] {
+        config["routes"][route]["timeout_ms"] = json!(1e22);
+        config["routes"][route]["target_latency_ms"] = json!(1e22);
+    }
+    config["limits"]["idle_timeout_ms"] = json!(1e22);
+    config["limits"]["header_timeout_ms"] = json!(1e22);
+    platform.configure(&config);
+    wait_until("the route has moved", || async {
+        edge.get(FETCH_PATH).await;
+        platform.shards[0].iter().any(|searcher| searcher.runs() > 0)
+    })
+    .await;
+    assert_eq!(edge.get(GATHER_PATH).await.status, 200);
+    assert_eq!(edge.get(FETCH_PATH).await.status, 200);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn changes_are_found_after_the_store_has_compacted_its_history() {
     let platform = start_platform().await;
--- a/bin/galenaloft-edge/tests/edge/serving.rs
+++ b/bin/galenaloft-edge/tests/edge/serving.rs
@@ -92,6 +92,21 @@
     }
 }
 
+/// Guards against a number in a header that overflows the clock, which closed the caller's connection
+/// without an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn searchers_that_state_an_endless_idle_timeout_cost_no_answer() {
+    let platform = start_platform().await;
+    let edge = Edge::start_ready(&platform, "a", 1, 28110).await;
+    let all = platform.shards.iter().flatten().chain(&platform.singles);
+    all.for_each(|s| s.state_in_answers(&[("Keep-Alive", "timeout=15151515151515151515")]));
+    let mut caller = Caller::connect(edge.caller_address).await.unwrap();
+    for path in [GATHER_PATH, FETCH_PATH, GATHER_PATH] {
+        let answer = caller.call(&build_call("GET", path, &request_id(), b"")).await.unwrap();
+        assert_eq!((answer.status, answer.missing()), (200, 0), "{path}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn non_idempotent_request_that_may_have_run_is_not_sent_again() {
     let platform = start_platform().await;
