Answer 500 where the work on a request panics

Change: the server, which galenaloft-edge and galenaloftd share, catches the panic, answers 500 (which promises nothing), keeps the connection and logs request_panicked.

Measured: a_panic_costs_one_answer_and_not_the_connection failed before (connection lost) and passes; the other tests of galenaloft-http pass.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -9,6 +10,7 @@
 
 use bytes::Bytes;
 use futures::FutureExt;
+use galenaloft_telemetry::log::Event;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::Request;
@@ -169,7 +171,7 @@
         let (counted, stopping) = (counted.clone(), stopping.clone());
         async move {
             let mut reply = match read_body(req, body_limit, read_timeout).await {
-                Ok(req) => handler(req).await,
+                Ok(req) => answer(handler, req).await,
                 Err((status, why)) => refuse(status, &why),
             };
             if *stopping.borrow() {
@@ -241,6 +243,22 @@
     }
 }
 
+/// Has the handler answer a request. A panic concerns that request only: it is answered 500, which
+/// promises nothing, and its connection goes on.
+async fn answer<H, F>(handler: H, req: Request<Bytes>) -> Reply
+where
+    H: Fn(Request<Bytes>) -> F,
+    F: Future<Output = Reply>,
+{
+    let path = req.uri().path().to_owned();
+    // What the handler shares with other tasks is behind locks that a panic does not leave unusable.
+    let reply = AssertUnwindSafe(async { handler(req).await }).catch_unwind().await;
+    reply.unwrap_or_else(|_| {
+        Event::new("request_panicked").with("path", path).error();
+        text(StatusCode::INTERNAL_SERVER_ERROR, "the request could not be handled")
+    })
+}
+
 async fn read_body(
     req: Request<Incoming>,
     limit: usize,
