Let a probe that panics not block later ones

Change: the mark is taken back when the probe's value is dropped, however the probe ends.

Measured: a_probe_that_panics_does_not_block_later_ones fails without the drop and passes with it.

--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -2,7 +2,6 @@
 //! before they are needed and sends health requests to searchers that failed.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -130,16 +129,15 @@
     share: ConnectionShare,
     probe: Probe,
 ) {
-    if searcher.probe_running.swap(true, Ordering::Relaxed) {
+    let Some(running) = searcher.begin_probe() else {
         return;
-    }
+    };
     let (lease, health_path) = match probe {
         Probe::Connect => (Lease::reserve(service, searcher, None, share, now()), None),
         Probe::Health(path) => (Lease::begin(service, searcher, None, share, now()), Some(path)),
         Probe::Limit(path) => (Lease::reserve(service, searcher, None, share, now()), Some(path)),
     };
     let Some(lease) = lease else {
-        searcher.probe_running.store(false, Ordering::Relaxed);
         return;
     };
     let (host, searcher) = (host.clone(), searcher.clone());
@@ -153,7 +151,7 @@
             true => lock(&searcher.health).record_recovered(),
             false => lock(&searcher.health).record_unreachable(now()),
         }
-        searcher.probe_running.store(false, Ordering::Relaxed);
+        drop(running);
     });
 }
 
--- a/crates/edge/src/searchers/searcher.rs
+++ b/crates/edge/src/searchers/searcher.rs
@@ -1,6 +1,7 @@
 //! One searcher and the pool of connections to it.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -37,6 +38,16 @@
     open: usize,
 }
 
+/// A probe of a searcher, which runs until this is dropped.
+#[derive(Debug)]
+pub(crate) struct RunningProbe(Arc<Searcher>);
+
+impl Drop for RunningProbe {
+    fn drop(&mut self) {
+        self.0.probe_running.store(false, Ordering::Relaxed);
+    }
+}
+
 /// One run of a searcher process, as this host sees it.
 #[derive(Debug)]
 pub struct Searcher {
@@ -50,7 +61,7 @@
     /// What it states about the requests that it takes from this host.
     pub gate: Mutex<Gate>,
     /// Whether a probe is running.
-    pub probe_running: AtomicBool,
+    probe_running: AtomicBool,
     pool: Mutex<Pool>,
 }
 
@@ -69,6 +80,12 @@
         }
     }
 
+    /// Begins a probe, or returns `None` while another one is running.
+    pub(crate) fn begin_probe(self: &Arc<Self>) -> Option<RunningProbe> {
+        let was_running = self.probe_running.swap(true, Ordering::Relaxed);
+        (!was_running).then(|| RunningProbe(self.clone()))
+    }
+
     /// Returns the address on which it listens.
     pub fn address(&self) -> SocketAddr {
         self.entry.address
--- a/crates/edge/src/searchers/tests.rs
+++ b/crates/edge/src/searchers/tests.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -77,3 +78,17 @@
     let chosen = choose_all(&other_zone_fleet, &[], ZoneScope::OwnZone);
     assert!(chosen.is_empty(), "{chosen:?}");
 }
+
+/// Guards against a searcher that is never probed again after a probe of it panicked.
+#[tokio::test]
+async fn a_probe_that_panics_does_not_block_later_ones() {
+    let searcher = Arc::new(Searcher::new(entry("x"), true));
+    let running = searcher.begin_probe().unwrap();
+    assert!(searcher.begin_probe().is_none());
+    let probe = tokio::spawn(async move {
+        let _running = running;
+        panic!("a fault of the probe");
+    });
+    assert!(probe.await.is_err());
+    assert!(searcher.begin_probe().is_some());
+}
