Bound the slots of a searcher in a layout

The sum of a firm's documents that is listed twice could overflow.

Change: a searcher has at most 4,096 connections, and so slots; the sum saturates and then does not match the shard's documents.

Measured: the two new cases of an_invalid_layout_is_rejected_with_a_reason failed before and pass.

--- a/crates/control-plane/src/layout.rs
+++ b/crates/control-plane/src/layout.rs
@@ -11,6 +11,9 @@
 
 use crate::wire;
 
+/// Most connections of a searcher, and so most slots, each of which is a task of its owner.
+const MAX_CONNECTIONS: u32 = 4_096;
+
 /// Parses and validates a layout. The error is one sentence.
 pub fn parse_layout(text: &str) -> Result<Layout, String> {
     let layout: wire::Layout = serde_json::from_str(text).map_err(|e| e.to_string())?;
@@ -43,6 +46,12 @@
              at least one slot and one connection per slot"
         ));
     }
+    if connections > MAX_CONNECTIONS {
+        return Err(format!(
+            "searcher `{id}` has {connections} connections, but at most {MAX_CONNECTIONS} \
+             connections are allowed"
+        ));
+    }
     let address = address.parse().map_err(|_| {
         format!("address `{address}` of searcher `{id}` is not an IP address and port")
     })?;
@@ -97,7 +106,8 @@
     let id = shard.id;
     let mut firms = BTreeMap::new();
     for firm in shard.firms {
-        *firms.entry(firm.firm.into()).or_insert(0_u32) += firm.documents;
+        let documents = firms.entry(firm.firm.into()).or_insert(0_u32);
+        *documents = documents.saturating_add(firm.documents);
     }
     let firm_documents: u64 = firms.values().map(|documents| u64::from(*documents)).sum();
     if firm_documents != u64::from(shard.documents) {
--- a/crates/control-plane/src/tests.rs
+++ b/crates/control-plane/src/tests.rs
@@ -3,6 +3,14 @@
 const SEARCHER: &str =
     r#"{"id":"s-1","zone":"a","address":"127.0.0.1:1","slots":2,"connections":25}"#;
 
+/// Would start as many tasks.
+const ENDLESS_SLOTS: &str = r#""slots":4000000000,"connections":4000000000"#;
+
+const FIRM: &str = r#"{"firm":"north","documents":3}"#;
+
+/// Overflows the sum of the firm's documents.
+const ENDLESS_FIRM: &str = r#"{"firm":"north","documents":4294967295}"#;
+
 fn layout(shards: &str) -> String {
     format!(
         r#"{{"searchers":[{SEARCHER}],"collections":[{{"name":"c","snapshots":[
@@ -37,6 +45,11 @@
         (layout(&full_range.replace("\"documents\":3,", "\"documents\":4,")), "its firms have 3"),
         (layout(&full_range).replace("\"slots\":2", "\"slots\":0"), "0 slots"),
         (layout(&full_range).replace("127.0.0.1:1", "host:1"), "`host:1`"),
+        (
+            layout(&full_range).replace("\"slots\":2,\"connections\":25", ENDLESS_SLOTS),
+            "at most 4096 connections",
+        ),
+        (layout(&full_range.replace(FIRM, &format!("{FIRM},{ENDLESS_FIRM}"))), "its firms have"),
         (layout(&full_range).replace("slots", "slotz"), "unknown field `slotz`"),
         ("{".to_owned(), "EOF"),
     ];
