Follow the store's changes from the oldest answer of a first read

Cause: the answers of a first read may be old and can come from replicas of different age. The host followed changes from the revision of the configuration on, also where the list, or a page of it, was older, and never saw what was removed between the two.

Change: the smallest revision of the configuration and of all pages counts. The stand-in of the store can answer from older replicas.

--- a/crates/edge/src/store/reader.rs
+++ b/crates/edge/src/store/reader.rs
@@ -168,18 +168,29 @@
         Ok(())
     }
 
-    /// Reads the configuration and all searchers. Changes are followed from the revision of the
-    /// first answer on, so that one made between the two answers is not missed. An old state is
-    /// brought up to date before it is used.
+    /// Reads the configuration and all searchers. Changes are followed from the smaller one of their
+    /// revisions on, so that none between the two is missed: the configuration is read first, but
+    /// answers that may be old can come from replicas of different age. An old state is brought up to
+    /// date before it is used.
     async fn read_all(&mut self) -> Result<(), StoreError> {
         let config = self.client.configuration(self.freshness).await?;
         let listing = self.client.searchers(self.freshness).await?;
-        let revision = if config.revision == 0 { listing.revision } else { config.revision };
+        let revision = match config.revision {
+            0 => listing.revision,
+            revision => revision.min(listing.revision),
+        };
         let changes = match self.freshness {
             Freshness::Current => Update { revision, ..Update::default() },
             Freshness::MayBeOld => self.client.changes(revision).await?,
         };
         [&config, &listing, &changes].into_iter().for_each(log_unreadable);
+        Event::new("store_loaded")
+            .with("config_revision", config.revision)
+            .with("list_revision", listing.revision)
+            .with("searchers", listing.searchers.len())
+            .with("revision", changes.revision)
+            .with("changes", changes.searchers.len())
+            .info();
         let now = now();
         self.adopt_configuration(changes.configuration.or(config.configuration));
         let mut changed = self.directory.replace(listing.searchers, revision, now);
--- a/crates/edge/src/store/reader/tests.rs
+++ b/crates/edge/src/store/reader/tests.rs
@@ -66,6 +66,44 @@
     assert_eq!(reader.revision, position + 2);
 }
 
+/// Returns whether the reader lists the first searcher of the single service.
+fn lists_first_single(reader: &StoreReader) -> bool {
+    reader.directory.entries().any(|entry| &*entry.id == "a0")
+}
+
+/// Guards against a searcher that is used after a restart though its entry was gone before: the list
+/// came from an older replica than the configuration, and changes were followed from the revision of
+/// the configuration on.
+#[tokio::test]
+async fn removals_between_the_replicas_of_a_first_read_are_seen() {
+    for config_is_newer in [true, false] {
+        let (scene, mut reader) = start().await;
+        let old = scene.store.revision();
+        scene.singles[0].deregister();
+        let new = scene.store.revision();
+        let pages = 4;
+        let replicas = match config_is_newer {
+            true => [vec![new], vec![old; pages]].concat(),
+            false => [vec![old], vec![new; pages]].concat(),
+        };
+        scene.store.answer_from_replicas(replicas);
+        reader.read_store().await;
+        assert!(reader.revision >= new, "{} {new}", reader.revision);
+        assert!(!lists_first_single(&reader), "config_is_newer {config_is_newer}");
+    }
+}
+
+/// Guards against a configuration that is missed between the replicas of a first read.
+#[tokio::test]
+async fn a_configuration_between_the_replicas_of_a_first_read_is_seen() {
+    let (scene, mut reader) = start().await;
+    let old = scene.store.revision();
+    scene.configure(&scene.configuration(2));
+    scene.store.answer_from_replicas([old]);
+    reader.read_store().await;
+    assert_eq!(reader.host.config_version(), 2);
+}
+
 #[tokio::test]
 async fn an_update_of_a_host_with_the_same_configuration_replaces_a_read() {
     let (scene, mut reader) = start().await;
