--- a/bin/galenaloft-edge/tests/edge/serving.rs
+++ b/bin/galenaloft-edge/tests/edge/serving.rs
@@ -111,7 +111,9 @@
 async fn non_idempotent_request_that_may_have_run_is_not_sent_again() {
     let platform = start_platform().await;
     let edge = Edge::start_ready(&platform, "a", 1, 28030).await;
-    for fault in [Fault::Lost, Fault::Garbage, Fault::Truncated, Fault::OtherRequest] {
+    for fault in
+        [Fault::Lost, Fault::Garbage, Fault::Truncated, Fault::OtherRequest, Fault::LateRejection]
+    {
         let before = runs(&platform.singles);
         set_all(&platform.singles, fault);
         let answer = edge.call("POST", FILE_PATH, b"a filing").await;
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -174,6 +174,10 @@
     };
     let healthy = searcher::is_healthy(&reply, &id);
     host.record_notice(&lease.searcher, &reply, now());
-    lease.return_connection(searcher::idle_timeout(reply.headers()));
+    // The answer to a health check names no request. A second copy of a rejection that came on this
+    // connection later would stand where the answer to a request is due.
+    if healthy {
+        lease.return_connection(searcher::idle_timeout(reply.headers()));
+    }
     healthy
 }
