Take a refusal as "not run" only if it names the attempt

Measured: two tests of galenaloft-searcher failed before with the new cases and pass; the tests of galenaloft-host and galenaloftd pass.

--- a/crates/searcher/src/convert.rs
+++ b/crates/searcher/src/convert.rs
@@ -58,6 +58,7 @@
         200 => read_result(req, body),
         400 | 404 | 409 | 429 | 503 => Err(read_refusal(req, body)),
         CANCELLED_STATUS => {
+            decode_refusal(req, body).map_err(bad_reply)?;
             let not_started = headers.get(BEGAN_HEADER).is_some_and(|value| value == "false");
             let verdict = if not_started { Verdict::NotRun } else { Verdict::MayHaveRun };
             Err(AttemptFailure { verdict, reason: FailureReason::Cancelled })
@@ -68,20 +69,27 @@
 
 /// Decodes a refusal, which proves that the attempt did not run.
 ///
-/// A refusal of another attempt proves nothing, so that the attempt may have run.
+/// A refusal of another attempt, or one that cannot be decoded, proves nothing, so that the attempt
+/// may have run.
 pub fn read_refusal(req: &AttemptRequest, body: &[u8]) -> AttemptFailure {
-    let reason = match wire::Refusal::decode(body) {
-        Ok(refusal) if refusal.attempt != req.attempt => {
-            return bad_reply(format!("refusal of another attempt, {:x}", refusal.attempt));
-        }
-        Ok(refusal) if refusal.draining => FailureReason::Draining,
+    match decode_refusal(req, body) {
+        Ok(refusal) if refusal.draining => AttemptFailure::not_run(FailureReason::Draining),
         Ok(refusal) if !refusal.held_snapshots.is_empty() => {
-            FailureReason::WrongSnapshot(refusal.held_snapshots)
+            AttemptFailure::not_run(FailureReason::WrongSnapshot(refusal.held_snapshots))
         }
-        Ok(refusal) => FailureReason::Refused(refusal.reason),
-        Err(_) => FailureReason::Refused("refusal cannot be decoded".to_owned()),
-    };
-    AttemptFailure::not_run(reason)
+        Ok(refusal) => AttemptFailure::not_run(FailureReason::Refused(refusal.reason)),
+        Err(why) => bad_reply(why),
+    }
+}
+
+/// Decodes a refusal, or says why it is none of this attempt.
+fn decode_refusal(req: &AttemptRequest, body: &[u8]) -> Result<wire::Refusal, String> {
+    let refusal =
+        wire::Refusal::decode(body).map_err(|e| format!("refusal cannot be decoded: {e}"))?;
+    match refusal.attempt == req.attempt {
+        true => Ok(refusal),
+        false => Err(format!("refusal of another attempt, {:x}", refusal.attempt)),
+    }
 }
 
 fn read_result(req: &AttemptRequest, body: &[u8]) -> Result<RanReply, AttemptFailure> {
--- a/crates/searcher/src/tests.rs
+++ b/crates/searcher/src/tests.rs
@@ -7,9 +7,13 @@
 use galenaloft_policy::verdict::Verdict;
 use hyper::HeaderMap;
 use hyper::StatusCode;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 use prost::Message;
 use quickcheck::quickcheck;
 
+use crate::paths::BEGAN_HEADER;
+use crate::paths::CANCELLED_STATUS;
 use crate::read_reply;
 use crate::wire;
 
@@ -57,11 +61,32 @@
     let refusal_of_other = wire::Refusal { attempt: 8, ..Default::default() }.encode_to_vec();
     assert_eq!(verdict(503, &refusal), Verdict::NotRun);
     assert_eq!(verdict(503, &refusal_of_other), Verdict::MayHaveRun);
+    for undecodable in [&[0xff][..], b"<html>", b""] {
+        assert_eq!(verdict(503, undecodable), Verdict::MayHaveRun, "{undecodable:?}");
+    }
     for status in [500, 502, 504, 499, 202] {
         assert_eq!(verdict(status, &refusal), Verdict::MayHaveRun, "status {status}");
     }
 }
 
+/// Guards against the late copy of another attempt's cancellation, which was taken for the promise that
+/// this attempt did not begin.
+#[test]
+fn only_a_cancellation_of_the_same_attempt_proves_that_it_did_not_begin() {
+    let headers = HeaderMap::from_iter([(
+        HeaderName::from_static(BEGAN_HEADER),
+        HeaderValue::from_static("false"),
+    )]);
+    let cancelled = |body: &[u8]| {
+        let status = StatusCode::from_u16(CANCELLED_STATUS).unwrap();
+        read_reply(&request(), status, &headers, body).unwrap_err().verdict
+    };
+    let of_attempt = |attempt| wire::Refusal { attempt, ..Default::default() }.encode_to_vec();
+    assert_eq!(cancelled(&of_attempt(7)), Verdict::NotRun);
+    assert_eq!(cancelled(&of_attempt(8)), Verdict::MayHaveRun);
+    assert_eq!(cancelled(b""), Verdict::MayHaveRun);
+}
+
 #[test]
 fn a_refusal_lists_the_snapshots_that_the_searcher_holds() {
     let refusal = wire::Refusal { attempt: 7, held_snapshots: vec![2], ..Default::default() };
