--- a/bin/galenaloftd/src/serve.rs
+++ b/bin/galenaloftd/src/serve.rs
@@ -12,7 +12,7 @@
 use galenaloft_host::Phase;
 use galenaloft_host::api::handle_caller;
 use galenaloft_host::api::handle_operator;
-use galenaloft_host::api::rejected_body_reply;
+use galenaloft_host::api::server_error_reply;
 use galenaloft_host::network::HttpPlatform;
 use galenaloft_host::network::TcpNetwork;
 use galenaloft_host::serve_peers;
@@ -107,7 +107,7 @@
         let _ = phase.wait_for(|phase| *phase == Phase::Stopping).await;
         close.send_replace(true);
     });
-    let server = Server::new(listener, limits, rejected_body_reply);
+    let server = Server::new(listener, limits, server_error_reply);
     server.serve(move |req| handle_caller(node.clone(), req), stop).await;
 }
 
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -89,6 +89,8 @@
     let sender_id = datagram.facts.first().map(|fact| fact.host.clone());
     host.peers.apply_facts(datagram.facts, datagram.zone_hosts, now());
     check_cut_off(host);
+    // Handled before a store update of this datagram, which is taken over whole only by a host that
+    // has this configuration.
     if datagram.config > host.config_version() {
         let notice = PeerNotice::NewerConfig {
             version: datagram.config,
--- a/crates/host/src/api/mod.rs
+++ b/crates/host/src/api/mod.rs
@@ -9,4 +9,4 @@
 
 pub use callers::handle_caller;
 pub use operators::handle_operator;
-pub use reply::rejected_body_reply;
+pub use reply::server_error_reply;
--- a/crates/host/src/api/reply.rs
+++ b/crates/host/src/api/reply.rs
@@ -53,9 +53,14 @@
     reply
 }
 
-/// Builds the reply to a request whose body was rejected before it was fully read.
-pub fn rejected_body_reply(status: StatusCode, reason: &str) -> Reply {
-    failure(status.as_u16(), Verdict::NotRun, reason, Duration::ZERO)
+/// Builds the reply to a request that the HTTP server ended itself: its body was rejected before it was
+/// fully read, or (status 500) the work on it panicked.
+pub fn server_error_reply(status: StatusCode, reason: &str) -> Reply {
+    let verdict = match status {
+        StatusCode::INTERNAL_SERVER_ERROR => Verdict::MayHaveRun,
+        _ => Verdict::NotRun,
+    };
+    failure(status.as_u16(), verdict, reason, Duration::ZERO)
 }
 
 /// Returns the wire form of a verdict.
@@ -71,3 +76,6 @@
 pub fn verdict_name(verdict: Verdict) -> &'static str {
     wire_verdict(verdict).as_str_name()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -72,33 +72,34 @@
     pub first_on_connection: bool,
 }
 
-/// Builds the reply to a request whose body was refused.
-pub type RefuseBody = fn(StatusCode, &str) -> Reply;
+/// Builds the reply to a request that the server ends itself: its body was refused, so that it has not
+/// run, or its handler panicked (status 500), so that it may have run.
+pub type ErrorReply = fn(StatusCode, &str) -> Reply;
 
 /// Serves HTTP/1.1 on one listener.
 #[derive(Debug)]
 pub struct Server {
     listener: TcpListener,
     limits: watch::Receiver<Limits>,
-    refuse: RefuseBody,
+    error_reply: ErrorReply,
 }
 
 impl Server {
-    /// Creates a server; `refuse` builds the reply to a request whose body is refused.
-    pub fn new(listener: TcpListener, limits: Limits, refuse: RefuseBody) -> Self {
-        Self::with_changing_limits(listener, watch::channel(limits).1, refuse)
+    /// Creates a server; `error_reply` builds the replies to requests that it ends itself.
+    pub fn new(listener: TcpListener, limits: Limits, error_reply: ErrorReply) -> Self {
+        Self::with_changing_limits(listener, watch::channel(limits).1, error_reply)
     }
 
     /// Creates a server whose limits may change; each connection keeps those it began with.
     pub fn with_changing_limits(
         listener: TcpListener,
         limits: watch::Receiver<Limits>,
-        refuse: RefuseBody,
+        error_reply: ErrorReply,
     ) -> Self {
-        Self { listener, limits, refuse }
+        Self { listener, limits, error_reply }
     }
 
-    /// Creates a server that refuses in plain text.
+    /// Creates a server whose own replies are in plain text.
     pub fn plain(listener: TcpListener, limits: Limits) -> Self {
         Self::new(listener, limits, |status, why| text(status, why))
     }
@@ -118,7 +119,7 @@
             };
             let limits = self.limits.borrow().clone();
             let connection =
-                serve_connection(stream, limits, self.refuse, handler.clone(), stop.clone());
+                serve_connection(stream, limits, self.error_reply, handler.clone(), stop.clone());
             tokio::spawn(async move {
                 // A broken connection concerns its client only.
                 let _ = connection.await;
@@ -151,7 +152,7 @@
 async fn serve_connection<H, F>(
     stream: TcpStream,
     limits: Limits,
-    refuse: RefuseBody,
+    error_reply: ErrorReply,
     handler: H,
     mut stop: watch::Receiver<bool>,
 ) -> io::Result<()>
@@ -171,8 +172,8 @@
         let (counted, stopping) = (counted.clone(), stopping.clone());
         async move {
             let mut reply = match read_body(req, body_limit, read_timeout).await {
-                Ok(req) => answer(handler, req).await,
-                Err((status, why)) => refuse(status, &why),
+                Ok(req) => answer(handler, req, error_reply).await,
+                Err((status, why)) => error_reply(status, &why),
             };
             if *stopping.borrow() {
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -243,9 +244,9 @@
     }
 }
 
-/// Has the handler answer a request. A panic concerns that request only: it is answered 500, which
-/// promises nothing, and its connection goes on.
-async fn answer<H, F>(handler: H, req: Request<Bytes>) -> Reply
+/// Has the handler answer a request. A panic concerns that request only: it is answered 500 and its
+/// connection goes on.
+async fn answer<H, F>(handler: H, req: Request<Bytes>, error_reply: ErrorReply) -> Reply
 where
     H: Fn(Request<Bytes>) -> F,
     F: Future<Output = Reply>,
@@ -255,7 +256,7 @@
     let reply = AssertUnwindSafe(async { handler(req).await }).catch_unwind().await;
     reply.unwrap_or_else(|_| {
         Event::new("request_panicked").with("path", path).error();
-        text(StatusCode::INTERNAL_SERVER_ERROR, "the request could not be handled")
+        error_reply(StatusCode::INTERNAL_SERVER_ERROR, "the request could not be handled")
     })
 }
 
