--- a/bin/galenaloft-edge/tests/edge/changes.rs
+++ b/bin/galenaloft-edge/tests/edge/changes.rs
@@ -37,6 +37,15 @@
     ]
 }
 
+/// Waits until a changed configuration that sends fetches to the first shard's service is in force.
+async fn wait_until_fetches_reach_first_shard(platform: &Scene, edge: &Edge) {
+    wait_until("the route has moved", || async {
+        edge.get(FETCH_PATH).await;
+        platform.shards[0].iter().any(|searcher| searcher.runs() > 0)
+    })
+    .await;
+}
+
 /// Returns a layout whose shards have searchers in zones `a` and `b`, but none in `c`.
 fn two_zones() -> Layout {
     Layout { zones: vec!["a".to_owned(), "b".to_owned()], ..Layout::default() }
@@ -50,11 +59,7 @@
     config["routes"][1]["service"] = json!(shard_name(0));
     let written = Instant::now();
     platform.configure(&config);
-    wait_until("the route has moved", || async {
-        edge.get(FETCH_PATH).await;
-        platform.shards[0].iter().any(|searcher| searcher.runs() > 0)
-    })
-    .await;
+    wait_until_fetches_reach_first_shard(&platform, &edge).await;
     assert!(written.elapsed() < 3_000 * MS, "{:?}", written.elapsed());
     let before: usize = platform.singles.iter().map(Searcher::runs).sum();
     platform.configure(&platform.configuration(4));
@@ -78,11 +83,7 @@
     config["limits"]["idle_timeout_ms"] = json!(1e22);
     config["limits"]["header_timeout_ms"] = json!(1e22);
     platform.configure(&config);
-    wait_until("the route has moved", || async {
-        edge.get(FETCH_PATH).await;
-        platform.shards[0].iter().any(|searcher| searcher.runs() > 0)
-    })
-    .await;
+    wait_until_fetches_reach_first_shard(&platform, &edge).await;
     assert_eq!(edge.get(GATHER_PATH).await.status, 200);
     assert_eq!(edge.get(FETCH_PATH).await.status, 200);
 }
@@ -96,11 +97,7 @@
     platform.configure(&config);
     platform.singles[0].drain();
     platform.store.compact();
-    wait_until("the route has moved", || async {
-        edge.get(FETCH_PATH).await;
-        platform.shards[0].iter().any(|searcher| searcher.runs() > 0)
-    })
-    .await;
+    wait_until_fetches_reach_first_shard(&platform, &edge).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/edge/src/store/reader/tests.rs
+++ b/crates/edge/src/store/reader/tests.rs
@@ -24,12 +24,6 @@
     StoreUpdate { after, revision: after + 1, changes: Vec::new(), returned_ago: None }
 }
 
-/// Reports configuration 2 of a host that does not answer any more.
-async fn report_lost_config(reader: &mut StoreReader) {
-    let peer = "127.0.0.1:1".parse().unwrap();
-    reader.handle_notice(PeerNotice::NewerConfig { version: 2, peer, in_own_zone: true }).await;
-}
-
 /// Guards against a changed configuration that is lost with the host that read it: its update moved
 /// the other hosts past the revision of that configuration.
 #[tokio::test]
@@ -38,7 +32,9 @@
     reader.read_store().await;
     assert_eq!(reader.host.config_version(), 1);
     scene.configure(&scene.configuration(2));
-    report_lost_config(&mut reader).await;
+    // Nothing listens there any more.
+    let peer = "127.0.0.1:1".parse().unwrap();
+    reader.handle_notice(PeerNotice::NewerConfig { version: 2, peer, in_own_zone: true }).await;
     let update = next_update(&reader);
     reader.handle_notice(PeerNotice::StoreUpdate { update, config: 2 }).await;
     reader.read_store().await;
@@ -66,11 +62,6 @@
     assert_eq!(reader.revision, position + 2);
 }
 
-/// Returns whether the reader lists the first searcher of the single service.
-fn lists_first_single(reader: &StoreReader) -> bool {
-    reader.directory.entries().any(|entry| &*entry.id == "a0")
-}
-
 /// Guards against a searcher that is used after a restart though its entry was gone before: the list
 /// came from an older replica than the configuration, and changes were followed from the revision of
 /// the configuration on.
@@ -89,7 +80,8 @@
         scene.store.answer_from_replicas(replicas);
         reader.read_store().await;
         assert!(reader.revision >= new, "{} {new}", reader.revision);
-        assert!(!lists_first_single(&reader), "config_is_newer {config_is_newer}");
+        let mut listed = reader.directory.entries();
+        assert!(listed.all(|entry| &*entry.id != "a0"), "config_is_newer {config_is_newer}");
     }
 }
 
--- a/crates/host/src/publish/watcher/tests.rs
+++ b/crates/host/src/publish/watcher/tests.rs
@@ -64,25 +64,18 @@
     Node::new(settings, identity, TcpConnector, HttpConnector, platform)
 }
 
-fn sheet(worth: u32) -> String {
-    format!(
-        "customer: c\nranks:\n  urgent: {{ order: 1, floor: 30% }}\nkinds:\n  look: {{ operation: \
-         search, collection: entries, rank: urgent, worth: {worth}, deadline: 300ms, \
-         coverage-floor: 60% }}\n"
-    )
-}
-
-fn value(worth: u32) -> WatchOutcome {
-    let key = SHEET_KEY.to_owned();
-    WatchOutcome::Value(ConfigValue { key, version: 1, value: sheet(worth) })
-}
+const SHEET: &str = "customer: c\nranks:\n  urgent: { order: 1, floor: 30% }\nkinds:\n  look: { \
+                     operation: search, collection: entries, rank: urgent, worth: 9, deadline: \
+                     300ms, coverage-floor: 60% }\n";
 
 /// Guards against an entity tag that is recorded before the text that it belongs to was read: after a
 /// failed read the text was never read again.
 #[tokio::test]
 async fn a_text_published_again_is_read_after_a_failed_read() {
     let changed = || WatchOutcome::Unchanged { version: 1, tag: "\"1.b\"".to_owned() };
-    let answers = [Ok(changed()), Err(PlatformError::TimedOut), Ok(changed()), Ok(value(9))];
+    let value = ConfigValue { key: SHEET_KEY.to_owned(), version: 1, value: SHEET.to_owned() };
+    let value = WatchOutcome::Value(value);
+    let answers = [Ok(changed()), Err(PlatformError::TimedOut), Ok(changed()), Ok(value)];
     let node = node("h1", answers);
     let mut last_read = LastRead { version: 1, tag: "\"1.a\"".to_owned() };
     assert!(!watch(&node, PublishedKey::Sheet, &mut last_read, Duration::ZERO).await);
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -251,11 +251,11 @@
     H: Fn(Request<Bytes>) -> F,
     F: Future<Output = Reply>,
 {
-    let path = req.uri().path().to_owned();
+    let uri = req.uri().clone();
     // What the handler shares with other tasks is behind locks that a panic does not leave unusable.
     let reply = AssertUnwindSafe(async { handler(req).await }).catch_unwind().await;
     reply.unwrap_or_else(|_| {
-        Event::new("request_panicked").with("path", path).error();
+        Event::new("request_panicked").with("path", uri.path()).error();
         error_reply(StatusCode::INTERNAL_SERVER_ERROR, "the request could not be handled")
     })
 }
