Bound outstanding requests and order those that wait

Cause: in a flood the hosts fill the searchers' queues, which serve in the order of arrival and reject the rest. Each wide query loses parts, and quick requests wait behind slow ones.

Change: each host has at most its part of two requests for each slot outstanding at a searcher. Further ones wait on the host: those that can be in time first, then by rank, then by the draw of their query, which is the same at every shard.

Not yet bound to a setting.

--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -278,11 +278,12 @@
         max_attempts: query.max_attempts,
         target: Target::Gather(gather.clone()),
     };
-    let request =
-        Arc::new(RoutedRequest::new(inbound, Arc::new(route), host.config()?, arrived_at));
-    request.record_demand(host, &gather.shards, arrived_at);
+    let mut request = RoutedRequest::new(inbound, Arc::new(route), host.config()?, arrived_at);
     let overhead = answer_processing_time(host.capacity(), gather.shards.len(), 0);
     let wait_policy = WaitPolicy::new(arrived_at, query.answer_within, overhead, request.deadline);
+    request.objective = wait_policy.objective();
+    let request = Arc::new(request);
+    request.record_demand(host, &gather.shards, arrived_at);
     let mut scatter_gather = ScatterGather::new(host, &request, &gather, allowed);
     scatter_gather.query_directly(query.min_parts, wait_policy.objective());
     // The requesting host can use any parts that arrive in time, since it also queries other
--- a/crates/edge/src/query/routed_request.rs
+++ b/crates/edge/src/query/routed_request.rs
@@ -25,6 +25,8 @@
     pub arrived_at: Instant,
     /// Latest time for an answer: the caller's deadline, bounded by the timeout of the route.
     pub deadline: Instant,
+    /// Latest time at which the parts have to be here for an answer that meets the objective.
+    pub objective: Instant,
     /// Whether a searcher crashed while it ran the request. Such a request is sent to one searcher
     /// at a time.
     pub crash_suspect: bool,
@@ -40,7 +42,8 @@
     ) -> Self {
         let timeout = inbound.patience.unwrap_or(route.timeout).min(route.timeout);
         let deadline = arrived_at + timeout;
-        Self { inbound, route, config, arrived_at, deadline, crash_suspect: false }
+        let objective = arrived_at + route.target_latency;
+        Self { inbound, route, config, arrived_at, deadline, objective, crash_suspect: false }
     }
 
     /// Records that the request would be sent to each of these services if their searchers had no
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -13,10 +13,12 @@
 use futures::stream::FuturesUnordered;
 use futures::stream::StreamExt;
 use galenaloft_adapter::searcher::SearcherAnswer;
+use galenaloft_policy::admission::Draw;
 use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::routing::ConnectionShare;
 use galenaloft_policy::routing::ExtraRequestShare;
+use galenaloft_policy::routing::Urgency;
 use galenaloft_policy::verdict::Verdict;
 use galenaloft_runtime::clock::now;
 use galenaloft_runtime::clock::sleep_until;
@@ -31,6 +33,7 @@
 use crate::searchers::Candidates;
 use crate::searchers::Choice;
 use crate::searchers::Lease;
+use crate::searchers::OutstandingBound;
 use crate::searchers::Searcher;
 use crate::searchers::Service;
 use crate::searchers::ZoneScope;
@@ -54,7 +57,7 @@
 const CLOSED_WAIT_DIVISOR: u32 = 4;
 
 /// Longest wait for a free connection before the searchers are checked again.
-const CONNECTION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+const CONNECTION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Why the request to a shard or service has no answer.
 #[derive(Debug, Clone, Copy)]
@@ -265,8 +268,9 @@
                 Choice::Closed(_) | Choice::NoSearcher => return Err(ShardFailure::NoSearcher),
                 Choice::AllAtLimit => {
                     let check_at = (now + CONNECTION_CHECK_INTERVAL).min(self.request.deadline);
+                    let waiter = self.service.waiting.join(self.urgency());
                     tokio::select! {
-                        () = self.service.connection_freed.notified() => {}
+                        () = waiter.turn() => {}
                         () = sleep_until(check_at) => {}
                     }
                 }
@@ -334,7 +338,16 @@
         let share = self.connection_share();
         let tried = lock(&self.tried);
         let candidates = Candidates { allowed: &self.allowed, tried: &tried, zone_scope };
-        self.service.choose(&self.request.route, prior, candidates, share, now)
+        let bound = OutstandingBound::Shared(self.host.sharing_hosts(), share);
+        self.service.choose(&self.request.route, prior, candidates, share, bound, now)
+    }
+
+    /// Returns what decides this request's place among those that wait for the same searchers.
+    fn urgency(&self) -> Urgency {
+        let route = &self.request.route;
+        let work = Duration::from_secs_f64(self.host.latency_estimate(route).median());
+        let draw = Draw::from_request_id(&self.request.inbound.id);
+        Urgency { rank: route.rank, due: self.request.objective, work, draw }
     }
 
     /// Returns this host's share of the connections to each searcher of the service.
--- a/crates/edge/src/searchers/lease.rs
+++ b/crates/edge/src/searchers/lease.rs
@@ -133,6 +133,6 @@
         if !self.returned {
             self.searcher.record_closed();
         }
-        self.service.connection_freed.notify_one();
+        self.service.waiting.wake_next(now());
     }
 }
--- a/crates/edge/src/searchers/mod.rs
+++ b/crates/edge/src/searchers/mod.rs
@@ -8,11 +8,13 @@
 mod service;
 #[cfg(test)]
 mod tests;
+mod waiting;
 
 pub use fleet::Fleet;
 pub use lease::Lease;
 pub use searcher::Searcher;
 pub use service::Candidates;
 pub use service::Choice;
+pub use service::OutstandingBound;
 pub use service::Service;
 pub use service::ZoneScope;
--- a/crates/edge/src/searchers/service.rs
+++ b/crates/edge/src/searchers/service.rs
@@ -9,10 +9,12 @@
 use galenaloft_policy::route::Route;
 use galenaloft_policy::routing::ConnectionShare;
 use galenaloft_policy::routing::ExtraRequestBudget;
+use galenaloft_policy::routing::SharingHosts;
+use galenaloft_policy::routing::max_outstanding;
 use galenaloft_runtime::sync::lock;
-use tokio::sync::Notify;
 
 use crate::searchers::Searcher;
+use crate::searchers::waiting::Waiting;
 
 /// One service: its searchers, and this host's budget of extra requests to it.
 #[derive(Debug, Default)]
@@ -20,8 +22,8 @@
     pub(super) searchers: Mutex<Vec<Arc<Searcher>>>,
     /// Budget of hedges and retries, the requests beyond the first attempt.
     pub budget: Mutex<ExtraRequestBudget>,
-    /// Signalled when a connection to some searcher becomes free.
-    pub connection_freed: Notify,
+    /// Requests that wait until some searcher has room for them.
+    pub waiting: Waiting,
 }
 
 /// Zones whose searchers can be asked.
@@ -53,6 +55,26 @@
     }
 }
 
+/// Bound on the requests that this host has outstanding at a searcher.
+#[derive(Debug, Clone, Copy)]
+pub enum OutstandingBound {
+    /// Only the connections bound them.
+    None,
+    /// The hosts divide what each searcher works on at a time.
+    Shared(SharingHosts, ConnectionShare),
+}
+
+impl OutstandingBound {
+    fn allows(self, searcher: &Searcher) -> bool {
+        let Self::Shared(hosts, share) = self else {
+            return true;
+        };
+        let (slots, local) = (searcher.entry.slots, searcher.local);
+        let max = max_outstanding(slots, hosts, share.uses_aggregators(), local);
+        lock(&searcher.health).outstanding() < max
+    }
+}
+
 /// Result of choosing a searcher.
 #[derive(Debug, Clone)]
 pub enum Choice {
@@ -132,6 +154,7 @@
         prior: f64,
         candidates: Candidates<'_>,
         share: ConnectionShare,
+        bound: OutstandingBound,
         now: Instant,
     ) -> Choice {
         let searchers = lock(&self.searchers);
@@ -142,7 +165,9 @@
             if !searcher.is_usable() || !candidates.contains(searcher) {
                 continue;
             }
-            if !searcher.has_free_connection(share.limit(searcher.local)) {
+            let has_room = searcher.has_free_connection(share.limit(searcher.local))
+                && bound.allows(searcher);
+            if !has_room {
                 any_at_limit = true;
                 continue;
             }
--- a/crates/edge/src/searchers/tests.rs
+++ b/crates/edge/src/searchers/tests.rs
@@ -48,7 +48,7 @@
     loop {
         let candidates = Candidates { allowed, tried: &tried, zone_scope };
         let service = fleet.service(&"shard".into());
-        match service.choose(&route, 0.005, candidates, share, Instant::now()) {
+        match service.choose(&route, 0.005, candidates, share, OutstandingBound::None, Instant::now()) {
             Choice::Searcher(searcher) => tried.push(searcher.entry.id.clone()),
             Choice::AllAtLimit | Choice::Closed(_) | Choice::NoSearcher => break,
         }
--- a/crates/policy/src/admission/draw.rs
+++ b/crates/policy/src/admission/draw.rs
@@ -9,7 +9,7 @@
 /// The owner of a searcher (the host that schedules its work) admits a query when the draw is below
 /// the admitted share of the query's rank. The draw is the same at every owner, so owners under
 /// similar load shed the same queries, and the admitted queries keep all of their shards.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct Draw(f64);
 
 impl Draw {
--- a/crates/policy/src/routing/health.rs
+++ b/crates/policy/src/routing/health.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Returns the number of running attempts.
+    pub fn outstanding(&self) -> usize {
+        self.running.len()
+    }
+
     /// Records an answer of the searcher and its latency.
     pub fn record_answer(&mut self, route: &RouteName, latency: Duration, now: Instant) {
         self.record_recovered();
