--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod catalogue;
 pub mod catch_up;
 pub mod directory;
+pub mod evacuation;
 pub mod gathering;
 pub mod heartbeat;
 pub mod ids;
