Obey evacuations of zones: read, spread and enforce them

Read with the calls that exist: a starting host reads everything below the operator's prefix, and the watch already returns the changes. The state follows each datagram of the gossip once some zone was evacuated, so that a lost datagram or a store that cannot be read hides neither begin nor end. The setting `evacuation` enables it; without it nothing is read or sent.

--- a/bin/galenaloft-edge/tests/edge/hosts.rs
+++ b/bin/galenaloft-edge/tests/edge/hosts.rs
@@ -42,9 +42,15 @@
             number: host,
             port,
             store: platform.store_address,
+            evacuation: false,
             log: None,
         };
-        let process = edge::Edge::start(&spec).unwrap();
+        Self::start_with(&spec)
+    }
+
+    /// Starts a host with other settings than the usual ones.
+    pub fn start_with(spec: &edge::Spec) -> Self {
+        let process = edge::Edge::start(spec).unwrap();
         Self { caller_address: process.callers, process }
     }
 
--- a/bin/galenaloft-edge/tests/edge/main.rs
+++ b/bin/galenaloft-edge/tests/edge/main.rs
@@ -1,6 +1,7 @@
 //! Tests of real edge hosts, run as processes against a stand-in for the platform.
 
 mod changes;
+mod evacuation;
 mod hosts;
 mod notices;
 mod serving;
--- a/crates/config/src/edge/model.rs
+++ b/crates/config/src/edge/model.rs
@@ -60,6 +60,8 @@
     pub grace: Duration,
     /// What an answer needs to reach its caller on an open connection, and the request before it.
     pub caller_round_trip: Duration,
+    /// Whether the operator can evacuate zones.
+    pub evacuation: bool,
 }
 
 impl EdgeSettings {
@@ -95,6 +97,7 @@
                 Some(field) => field.units(MILLISECOND, 0.0..=MAX_MILLISECONDS)?,
                 None => Duration::from_millis(6),
             },
+            evacuation: read_evacuation(top.optional("evacuation"))?,
         };
         top.finish()?;
         Ok(settings)
@@ -128,6 +131,10 @@
     Ok(cores)
 }
 
+fn read_evacuation(field: Option<Field<'_>>) -> Result<bool, ConfigError> {
+    field.map_or(Ok(false), |field| field.choice(&[("true", true), ("false", false)]))
+}
+
 fn read_extra(field: Option<Field<'_>>) -> Result<ExtraRequestLimit, ConfigError> {
     let mut bound = ExtraRequestLimit { ratio: 0.1, slack: 10.0, window: Duration::from_secs(10) };
     let Some(field) = field else {
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -15,6 +15,7 @@
 use galenaloft_http::Limits;
 use galenaloft_policy::directory::Change;
 use galenaloft_policy::directory::RevisionedChange;
+use galenaloft_policy::evacuation::Evacuations;
 use galenaloft_policy::ids::Capacity;
 use galenaloft_policy::ids::ConfigVersion;
 use galenaloft_policy::ids::RouteName;
@@ -92,6 +93,8 @@
     pub known_searchers: Mutex<Option<KnownSearchers>>,
     /// Requests during which searchers crashed.
     pub quarantine: Mutex<Quarantine>,
+    /// Evacuated zones; none while the setting is off.
+    pub(crate) evacuations: Mutex<Evacuations>,
     /// Counters and latency histograms.
     pub metrics: Metrics,
     /// Current configuration; `None` until one is read.
@@ -122,6 +125,10 @@
 impl Host {
     /// Creates the state of a host that has no configuration and knows no searchers or peers.
     pub fn new(settings: EdgeSettings, incarnation: u64) -> Self {
+        let metrics = Metrics::default();
+        if settings.evacuation {
+            metrics.evacuated_zones(0);
+        }
         Self {
             peers: Peers::new(&settings, incarnation),
             relays: Relays::default(),
@@ -129,7 +136,8 @@
             fleet: Fleet::new(settings.zone.clone()),
             settings,
             quarantine: Mutex::default(),
-            metrics: Metrics::default(),
+            evacuations: Mutex::default(),
+            metrics,
             config: Mutex::new(None),
             // Sizes are in bytes. A configuration replaces `head`, `body` and `idle_timeout`.
             limits: watch::channel(Limits {
@@ -321,6 +329,7 @@
             leaving: runs.filter(|run| self.fleet.is_leaving(run)).collect(),
             config: self.config().map(|config| (*config).clone()),
             searchers: known.searchers,
+            evacuations: self.evacuations(),
             revision: known.revision,
             age: now().saturating_duration_since(known.as_of),
         })
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod api;
 mod error;
+mod evacuation;
 mod host;
 mod peers;
 mod probe;
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -20,6 +20,7 @@
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 
+use crate::evacuation::ZoneChangeSource;
 use crate::host::Host;
 use crate::peers::limits;
 use crate::peers::messages::Datagram;
@@ -63,13 +64,36 @@
                 continue;
             }
         };
-        match bincode::deserialize::<Datagram>(&buf[..size]) {
+        let bytes = &buf[..size];
+        let received = Datagram::decode(bytes).and_then(|datagram| {
+            apply_zone_changes(&host, &datagram, bytes)?;
+            Ok(datagram)
+        });
+        match received {
             Ok(datagram) => receive(&host, &socket, &notices, datagram, sender).await,
             Err(e) => Event::new("datagram_unreadable").with("from", sender).with("why", e).warn(),
         }
     }
 }
 
+/// Applies the changes of zones in a datagram. They come before its store update, after which this host
+/// no longer reads these changes from the store. In a large fleet, representatives pass on to their
+/// zone what they learn from another one.
+fn apply_zone_changes(host: &Host, datagram: &Datagram, bytes: &[u8]) -> bincode::Result<()> {
+    if !host.settings.evacuation {
+        return Ok(());
+    }
+    let zones = datagram.decode_zones(bytes)?;
+    let sender = datagram.facts.first();
+    let source = ZoneChangeSource::Peer(sender.map(|fact| &fact.host));
+    let changed = host.apply_zone_changes(&zones, source);
+    let from_other_zone = sender.map(|fact| &fact.zone) != Some(&host.settings.zone);
+    if changed && from_other_zone && host.peers.zone_gossip().is_some() {
+        host.peers.announce_zone_changes();
+    }
+    Ok(())
+}
+
 /// Checks whether this host's zone is cut off from the other zones, and logs a change.
 fn check_cut_off(host: &Host) {
     if host.update_cut_off(now()) {
@@ -188,7 +212,8 @@
 }
 
 /// Sends published store updates and reports to the hosts that share them. Woken without either,
-/// sends only facts: this host's own state has changed to leaving.
+/// sends only facts: this host's own state has changed to leaving. Every datagram has the changes of
+/// zones; when these are to be announced, the hosts that get nothing else get facts too.
 async fn send_pending(host: Arc<Host>, socket: Arc<UdpSocket>) {
     loop {
         host.peers.send_requested.notified().await;
@@ -196,6 +221,7 @@
         let updates = update.map_or_else(Vec::new, |update| update.split(MAX_CHANGES));
         let reports = host.peers.take_reports();
         let forwarded = host.peers.take_forwarded_reports();
+        let announces_zones = host.peers.take_zone_announcement();
         let facts_only = updates.is_empty() && reports.is_empty() && forwarded.is_empty();
         let receivers = host.peers.update_receivers();
         for (position, update) in updates.iter().enumerate() {
@@ -222,7 +248,7 @@
                 let purpose = Purpose::Report(report.clone());
                 send_gossip(&host, &socket, receiver, None, purpose).await;
             }
-            if facts_only {
+            if facts_only || announces_zones {
                 send_gossip(&host, &socket, receiver, None, Purpose::Reply).await;
             }
         }
@@ -251,7 +277,7 @@
 ) {
     let zone_hosts = host.peers.own_zone_hosts();
     let datagram = Datagram { facts, zone_hosts, config: host.config_version(), purpose };
-    let result = match bincode::serialize(&datagram) {
+    let result = match datagram.encode(&host.zone_changes()) {
         Ok(bytes) if bytes.len() > MAX_DATAGRAM_BYTES => {
             Err(io::Error::other("datagram is too large"))
         }
--- a/crates/edge/src/peers/members.rs
+++ b/crates/edge/src/peers/members.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -80,6 +82,8 @@
     pending_reports: Mutex<Vec<Report>>,
     /// Reports of another zone that are not sent to this zone yet.
     forwarded_reports: Mutex<Vec<Report>>,
+    /// Whether changes of evacuated zones are not announced yet.
+    zones_changed: AtomicBool,
     /// Wakes the task that sends pending updates and reports, and that announces this host's state
     /// when it is leaving.
     pub send_requested: tokio::sync::Notify,
@@ -111,6 +115,7 @@
             pending_update: Mutex::new(None),
             pending_reports: Mutex::default(),
             forwarded_reports: Mutex::default(),
+            zones_changed: AtomicBool::new(false),
             send_requested: tokio::sync::Notify::new(),
         }
     }
@@ -445,6 +450,18 @@
         std::mem::take(&mut *lock(&self.forwarded_reports))
     }
 
+    /// Announces changes of evacuated zones to the hosts of this zone, or in a small fleet to all, and
+    /// to the representatives of other zones.
+    pub fn announce_zone_changes(&self) {
+        self.zones_changed.store(true, Ordering::Relaxed);
+        self.send_requested.notify_one();
+    }
+
+    /// Returns whether changes of evacuated zones are to be announced, and resets that.
+    pub fn take_zone_announcement(&self) -> bool {
+        self.zones_changed.swap(false, Ordering::Relaxed)
+    }
+
     /// Marks this host as leaving and announces that to the other hosts.
     pub fn leave(&self) {
         lock(&self.table).update_own(HostState::Leaving, Vec::new());
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -7,6 +7,8 @@
 use galenaloft_policy::directory::RevisionedChange;
 use galenaloft_policy::directory::SearcherEntry;
 use galenaloft_policy::directory::SearcherRun;
+use galenaloft_policy::evacuation::Evacuations;
+use galenaloft_policy::evacuation::ZoneChange;
 use galenaloft_policy::ids::ConfigVersion;
 use galenaloft_policy::ids::Rank;
 use galenaloft_policy::ids::RouteName;
@@ -33,6 +35,31 @@
     pub purpose: Purpose,
 }
 
+impl Datagram {
+    /// Encodes the datagram. The changes of zones follow it if there are any: as long as no zone was
+    /// evacuated, datagrams do not grow.
+    pub fn encode(&self, zones: &[ZoneChange]) -> bincode::Result<Vec<u8>> {
+        match zones {
+            [] => bincode::serialize(self),
+            zones => bincode::serialize(&(self, zones)),
+        }
+    }
+
+    /// Decodes a datagram without the changes of zones that may follow it.
+    pub fn decode(bytes: &[u8]) -> bincode::Result<Self> {
+        bincode::deserialize(bytes)
+    }
+
+    /// Decodes the changes of zones that follow this datagram in `bytes`.
+    pub fn decode_zones(&self, bytes: &[u8]) -> bincode::Result<Vec<ZoneChange>> {
+        let size = usize::try_from(bincode::serialized_size(self)?).unwrap_or(usize::MAX);
+        match bytes.get(size..).unwrap_or_default() {
+            [] => Ok(Vec::new()),
+            rest => bincode::deserialize(rest),
+        }
+    }
+}
+
 /// Why a datagram is sent.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Purpose {
@@ -125,6 +152,8 @@
     pub searchers: Vec<RevisionedChange>,
     /// Those of the listed searchers that stated that they are leaving.
     pub leaving: Vec<SearcherRun>,
+    /// Evacuated zones, and zones whose evacuation has ended.
+    pub evacuations: Evacuations,
     /// Revision up to which the changes are known.
     pub revision: StoreRevision,
     /// Time since the store was last known to be at that revision.
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -82,7 +82,10 @@
                 if !share.keeps_connections() {
                     searcher.close_idle();
                 }
-                if searcher.is_draining() {
+                if searcher.is_evacuated() {
+                    searcher.close_idle();
+                }
+                if !searcher.is_permitted() {
                     continue;
                 }
                 let probe_due = lock(&searcher.health).needs_probe(now());
@@ -149,6 +152,8 @@
         }
         match succeeded {
             true => lock(&searcher.health).record_recovered(),
+            // The probe may have ended only because the evacuation began.
+            false if searcher.is_evacuated() => {}
             false => lock(&searcher.health).record_unreachable(now()),
         }
         drop(running);
--- a/crates/edge/src/query/attempt.rs
+++ b/crates/edge/src/query/attempt.rs
@@ -101,6 +101,9 @@
 ) -> AttemptResult {
     let searcher = lease.searcher.clone();
     if lease.connect().await.is_err() {
+        if searcher.is_evacuated() {
+            return failure(Verdict::NotRun, "zone_evacuated");
+        }
         lock(&searcher.health).record_unreachable(now());
         return failure(Verdict::NotRun, "connect_failed");
     }
--- a/crates/edge/src/query/crash_check.rs
+++ b/crates/edge/src/query/crash_check.rs
@@ -23,11 +23,15 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Starts a task that checks whether the searcher still listens. If it does not, the request is
-/// recorded as a possible cause of the crash, here and on the other hosts.
+/// recorded as a possible cause of the crash, here and on the other hosts. No connection is opened to a
+/// searcher of an evacuated zone, so that its crash is not recorded.
 pub fn spawn(host: &Arc<Host>, request: &Arc<RoutedRequest>, searcher: &Arc<Searcher>) {
     let (host, request, searcher) = (host.clone(), request.clone(), searcher.clone());
     tokio::spawn(async move {
         sleep(CHECK_DELAY).await;
+        if searcher.is_evacuated() {
+            return;
+        }
         match timeout(CONNECT_TIMEOUT, TcpStream::connect(searcher.address())).await {
             // A network partition makes the attempt time out. Only an error, such as a refused
             // connection, shows that the searcher no longer listens.
--- a/crates/edge/src/query/gather.rs
+++ b/crates/edge/src/query/gather.rs
@@ -177,7 +177,11 @@
     /// searchers, so that no more than `max_attempts` searchers run the request.
     fn pin_searchers(&mut self, shards: &[usize]) {
         for index in shards {
-            let listed = self.host.fleet.service(&self.gather.shards[*index]).searchers();
+            let mut listed = self.host.fleet.service(&self.gather.shards[*index]).searchers();
+            // An empty list would allow all.
+            if listed.iter().any(|searcher| !searcher.is_evacuated()) {
+                listed.retain(|searcher| !searcher.is_evacuated());
+            }
             if listed.len() <= self.request.route.max_attempts as usize {
                 self.allowed[*index] = listed.iter().map(|s| s.entry.id.clone()).collect();
             }
@@ -482,13 +486,20 @@
     if host.is_cut_off() && host.count_own_zone_shards(gather) < min_parts {
         return Answer::Refused(CALLER_RETRY_DELAY);
     }
+    // Before anything is sent: the other shards' work would be of no use.
+    if host.fleet.has_evacuated_zones() && count_permitted_shards(host, gather) < min_parts {
+        return Answer::Refused(CALLER_RETRY_DELAY);
+    }
     let started_at = now();
     let groups = group::group_shards(host, request, gather, started_at);
     let direct = group::direct_shards(gather, &groups);
     let direct_services = direct.iter().map(|index| &gather.shards[*index]);
     request.record_demand(host, direct_services.clone(), started_at);
-    let access =
-        direct_services.map(|shard| match host.fleet.service(shard).opens_at(started_at) {
+    let has_evacuated_zones = host.fleet.has_evacuated_zones();
+    let access = direct_services
+        .map(|shard| host.fleet.service(shard))
+        .filter(|service| !has_evacuated_zones || service.has_permitted_searcher())
+        .map(|service| match service.opens_at(started_at) {
             Some(at) => ShardAccess::ClosedUntil(at),
             None => ShardAccess::Open,
         });
@@ -519,6 +530,12 @@
     }
 }
 
+/// Returns how many of the shards have a searcher outside of the evacuated zones.
+fn count_permitted_shards(host: &Host, gather: &Gather) -> usize {
+    let shards = gather.shards.iter();
+    shards.filter(|shard| host.fleet.service(shard).has_permitted_searcher()).count()
+}
+
 /// Returns whether an answer holds the part of its shard.
 fn is_success(answer: &SearcherAnswer) -> bool {
     answer.status.is_success()
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -69,7 +69,12 @@
         true => Vec::new(),
         false => other_zone_groups(host, request, gather, now),
     };
-    let ungrouped = direct_shards(gather, &groups);
+    let mut ungrouped = direct_shards(gather, &groups);
+    if host.fleet.has_evacuated_zones() {
+        // The aggregators of this zone have no searcher for the others either.
+        ungrouped
+            .retain(|index| host.fleet.service(&gather.shards[*index]).has_permitted_searcher());
+    }
     let share =
         gather.shards.first().map(|shard| request.connection_share(shard, host.sharing_hosts()));
     let time_left =
--- a/crates/edge/src/searchers/fleet.rs
+++ b/crates/edge/src/searchers/fleet.rs
@@ -1,8 +1,11 @@
 //! All searchers by service, as the directory lists them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use galenaloft_policy::directory::Directory;
@@ -24,6 +27,11 @@
 pub struct Fleet {
     zone: ZoneId,
     services: Mutex<BTreeMap<ServiceId, Arc<Service>>>,
+    /// For each zone that has searchers or is evacuated, whether it is evacuated. The searchers of a
+    /// zone share its flag, so that no request looks up a zone.
+    evacuated: Mutex<BTreeMap<ZoneId, Arc<AtomicBool>>>,
+    /// Whether some zone is evacuated.
+    any_evacuated: AtomicBool,
     /// Runs of searchers that are leaving, listed or not.
     pub(super) leaving: Mutex<LeavingRuns>,
     /// Searchers that have a limit or had one lately.
@@ -38,6 +46,8 @@
         Self {
             zone,
             services: Mutex::default(),
+            evacuated: Mutex::default(),
+            any_evacuated: AtomicBool::new(false),
             leaving: Mutex::default(),
             limited: Mutex::default(),
             limits_changed: Notify::new(),
@@ -68,6 +78,29 @@
         }
     }
 
+    /// Sets which zones are evacuated: nothing new is sent to their searchers, including those that are
+    /// listed later.
+    pub fn set_evacuated(&self, zones: &BTreeSet<ZoneId>) {
+        let mut flags = lock(&self.evacuated);
+        for zone in zones {
+            flags.entry(zone.clone()).or_default();
+        }
+        for (zone, flag) in flags.iter() {
+            flag.store(zones.contains(zone), Ordering::Relaxed);
+        }
+        self.any_evacuated.store(!zones.is_empty(), Ordering::Relaxed);
+    }
+
+    /// Returns whether some zone is evacuated.
+    pub fn has_evacuated_zones(&self) -> bool {
+        self.any_evacuated.load(Ordering::Relaxed)
+    }
+
+    /// Returns the flag that states whether a zone is evacuated.
+    fn evacuation_flag(&self, zone: &ZoneId) -> Arc<AtomicBool> {
+        lock(&self.evacuated).entry(zone.clone()).or_default().clone()
+    }
+
     /// Updates the searchers to those that the directory lists. Searchers that stay keep their
     /// observed health and connections; those that are no longer listed drain, and those that are
     /// leaving stay drained if they are listed again.
@@ -80,7 +113,8 @@
                 None => {
                     let local = entry.zone == self.zone;
                     log_change("searcher_listed", entry);
-                    Arc::new(Searcher::new(entry.clone(), local))
+                    let evacuated = self.evacuation_flag(&entry.zone);
+                    Arc::new(Searcher::new(entry.clone(), local, evacuated))
                 }
             };
             let run = entry.run();
@@ -105,6 +139,8 @@
             }
             listed.contains_key(id) || Arc::strong_count(service) > 1
         });
+        lock(&self.evacuated)
+            .retain(|_, flag| flag.load(Ordering::Relaxed) || Arc::strong_count(flag) > 1);
     }
 
     fn find(&self, service: &ServiceId, id: &SearcherId) -> Option<Arc<Searcher>> {
--- a/crates/edge/src/searchers/lease.rs
+++ b/crates/edge/src/searchers/lease.rs
@@ -62,7 +62,7 @@
     }
 
     /// Reserves a connection without sending a request on it, or returns `None` while this host has
-    /// used up its connections to the searcher.
+    /// used up its connections to the searcher or the searcher's zone is evacuated.
     pub fn reserve(
         service: &Arc<Service>,
         searcher: &Arc<Searcher>,
@@ -70,6 +70,9 @@
         share: ConnectionShare,
         now: Instant,
     ) -> Option<Self> {
+        if searcher.is_evacuated() {
+            return None;
+        }
         let connection = searcher.check_out(share.limit(searcher.local), now)?;
         lock(&searcher.health).record_sent(now);
         Some(Self {
@@ -84,8 +87,10 @@
         })
     }
 
-    /// Opens the connection unless it is open already.
+    /// Opens the connection unless it is open already. Fails if the searcher's zone was evacuated since
+    /// the lease began.
     pub async fn connect(&mut self) -> Result<(), HttpError> {
+        self.check_not_evacuated()?;
         if self.connection.is_none() {
             self.awaiting_searcher = true;
             let connection = Connection::connect(self.searcher.address(), CONNECT_TIMEOUT).await;
@@ -95,12 +100,22 @@
         Ok(())
     }
 
+    /// Returns an error if the searcher's zone is evacuated, so that nothing is sent that was prepared
+    /// before the evacuation began.
+    fn check_not_evacuated(&self) -> Result<(), HttpError> {
+        match self.searcher.is_evacuated() {
+            true => Err(HttpError::NotSent("the searcher's zone is evacuated".to_owned())),
+            false => Ok(()),
+        }
+    }
+
     /// Sends a request and reads the whole reply.
     pub async fn exchange(
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, HttpError> {
         self.connect().await?;
+        self.check_not_evacuated()?;
         let Some(connection) = self.connection.as_mut() else {
             return Err(HttpError::NotSent("the connection is not open".to_owned()));
         };
--- a/crates/edge/src/searchers/searcher.rs
+++ b/crates/edge/src/searchers/searcher.rs
@@ -56,6 +56,8 @@
     /// Whether it is in the availability zone of this host.
     pub local: bool,
     draining: AtomicBool,
+    /// Whether its zone is evacuated; shared by all searchers of the zone.
+    evacuated: Arc<AtomicBool>,
     /// Health as observed by this host.
     pub health: Mutex<SearcherHealth>,
     /// What it states about the requests that it takes from this host.
@@ -66,13 +68,15 @@
 }
 
 impl Searcher {
-    /// Creates a searcher without observations or connections.
-    pub fn new(entry: SearcherEntry, local: bool) -> Self {
+    /// Creates a searcher without observations or connections. `evacuated` states whether its zone is
+    /// evacuated.
+    pub fn new(entry: SearcherEntry, local: bool, evacuated: Arc<AtomicBool>) -> Self {
         let draining = AtomicBool::new(entry.state == SearcherState::Draining);
         Self {
             entry,
             local,
             draining,
+            evacuated,
             health: Mutex::default(),
             gate: Mutex::default(),
             probe_running: AtomicBool::new(false),
@@ -96,9 +100,19 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Returns whether nothing new may be sent to it because its zone is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.evacuated.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether requests may be sent to it if it can be reached.
+    pub fn is_permitted(&self) -> bool {
+        !self.is_draining() && !self.is_evacuated()
+    }
+
     /// Returns whether requests may be sent to it.
     pub fn is_usable(&self) -> bool {
-        !self.is_draining() && !lock(&self.health).is_unreachable()
+        self.is_permitted() && !lock(&self.health).is_unreachable()
     }
 
     /// Returns when the next request may be sent to it according to its own statements, or `None` if
--- a/crates/edge/src/searchers/service.rs
+++ b/crates/edge/src/searchers/service.rs
@@ -101,6 +101,12 @@
         healthy.map(|searcher| searcher.entry.zone.clone()).collect()
     }
 
+    /// Returns whether some searcher is neither leaving nor in an evacuated zone. Other hosts may reach
+    /// one that this host does not.
+    pub fn has_permitted_searcher(&self) -> bool {
+        lock(&self.searchers).iter().any(|searcher| searcher.is_permitted())
+    }
+
     /// Returns whether some searcher in this host's zone is usable.
     pub fn has_local_searcher(&self) -> bool {
         lock(&self.searchers).iter().any(|searcher| searcher.local && searcher.is_usable())
--- a/crates/edge/src/searchers/tests.rs
+++ b/crates/edge/src/searchers/tests.rs
@@ -82,7 +82,7 @@
 /// Guards against a searcher that is never probed again after a probe of it panicked.
 #[tokio::test]
 async fn a_probe_that_panics_does_not_block_later_ones() {
-    let searcher = Arc::new(Searcher::new(entry("x"), true));
+    let searcher = Arc::new(Searcher::new(entry("x"), true, Arc::default()));
     let running = searcher.begin_probe().unwrap();
     assert!(searcher.begin_probe().is_none());
     let probe = tokio::spawn(async move {
--- a/crates/edge/src/store/reader.rs
+++ b/crates/edge/src/store/reader.rs
@@ -26,6 +26,7 @@
 use galenaloft_telemetry::log::Event;
 use tokio::sync::mpsc::UnboundedReceiver;
 
+use crate::evacuation::ZoneChangeSource;
 use crate::host::Host;
 use crate::host::KnownSearchers;
 use crate::peers::StoreUpdate;
@@ -97,7 +98,8 @@
     /// Creates a reader that knows nothing of the store's content.
     fn new(host: Arc<Host>) -> Self {
         Self {
-            client: StoreClient::new(host.settings.store, STORE_TIMEOUT),
+            client: StoreClient::new(host.settings.store, STORE_TIMEOUT)
+                .with_evacuation(host.settings.evacuation),
             host,
             directory: Directory::default(),
             revision: 0,
@@ -159,6 +161,8 @@
         }
         let update = self.client.changes(after).await?;
         log_unreadable(&update);
+        // Applied first: whoever knows the revision that is published below knows these changes.
+        self.apply_zone_changes(&update);
         self.adopt_configuration(update.configuration);
         let changes = self.apply(update.searchers, now());
         self.revision = self.revision.max(update.revision);
@@ -173,7 +177,11 @@
     /// answers that may be old can come from replicas of different age. An old state is brought up to
     /// date before it is used.
     async fn read_all(&mut self) -> Result<(), StoreError> {
-        let config = self.client.configuration(self.freshness).await?;
+        let config = self.read_operator_items().await?;
+        if self.freshness == Freshness::Current {
+            // The list of searchers can take seconds to read, and this list of zones is current.
+            self.replace_evacuated_zones(&config);
+        }
         let listing = self.client.searchers(self.freshness).await?;
         let revision = match config.revision {
             0 => listing.revision,
@@ -192,6 +200,8 @@
             .with("changes", changes.searchers.len())
             .info();
         let now = now();
+        self.replace_evacuated_zones(&config);
+        self.apply_zone_changes(&changes);
         self.adopt_configuration(changes.configuration.or(config.configuration));
         let mut changed = self.directory.replace(listing.searchers, revision, now);
         for change in changes.searchers {
@@ -203,6 +213,30 @@
         Ok(())
     }
 
+    /// Reads the configuration, and the evacuated zones if they are to be read.
+    async fn read_operator_items(&mut self) -> Result<Update, StoreError> {
+        match self.host.settings.evacuation {
+            true => self.client.operator_items(self.freshness).await,
+            false => self.client.configuration(self.freshness).await,
+        }
+    }
+
+    /// Takes over the whole list of evacuated zones, if it was read.
+    fn replace_evacuated_zones(&self, listing: &Update) {
+        if self.host.settings.evacuation
+            && self.host.replace_evacuated_zones(&listing.zones, listing.revision)
+        {
+            self.host.peers.announce_zone_changes();
+        }
+    }
+
+    /// Takes over the begin and end of evacuations.
+    fn apply_zone_changes(&self, update: &Update) {
+        if self.host.apply_zone_changes(&update.zones, ZoneChangeSource::Store) {
+            self.host.peers.announce_zone_changes();
+        }
+    }
+
     /// Records and logs that the store failed. If this host has no revision to continue from,
     /// requests the store's content from its peers.
     async fn handle_failure(&mut self, e: &StoreError, now: Instant) {
@@ -319,6 +353,7 @@
     /// Adopts the configuration that a peer knows if it is newer, and its list of searchers if this
     /// host has none.
     fn adopt_view(&mut self, view: StoreView) {
+        self.host.merge_evacuations(&view.evacuations);
         self.adopt_configuration(view.config);
         if self.revision > 0 || view.revision == 0 {
             return;
--- a/crates/telemetry/src/metrics/recorder.rs
+++ b/crates/telemetry/src/metrics/recorder.rs
@@ -5,6 +5,7 @@
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -45,6 +46,7 @@
     attempts: Counter<u64>,
     outcomes: Counter<u64>,
     invalid_notices: Counter<u64>,
+    evacuated_zones: Gauge<u64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -72,6 +74,7 @@
             attempts: meter.u64_counter("galenaloft_attempts").build(),
             outcomes: meter.u64_counter("galenaloft_requests").build(),
             invalid_notices: meter.u64_counter("galenaloft_invalid_notices").build(),
+            evacuated_zones: meter.u64_gauge("galenaloft_evacuated_zones").build(),
             registry,
             _provider: provider,
         }
@@ -118,6 +121,11 @@
         self.invalid_notices.add(1, &[]);
     }
 
+    /// Records how many zones are evacuated.
+    pub fn evacuated_zones(&self, count: usize) {
+        self.evacuated_zones.record(count as u64, &[]);
+    }
+
     /// Returns every metric in the Prometheus text format.
     pub fn encode(&self) -> Vec<u8> {
         let mut buf = Vec::new();
--- a/tools/soak/src/edge.rs
+++ b/tools/soak/src/edge.rs
@@ -40,6 +40,8 @@
     pub port: u16,
     /// Where it finds the store.
     pub store: SocketAddr,
+    /// Whether the operator can evacuate zones.
+    pub evacuation: bool,
     /// File that takes its log, if it is kept.
     pub log: Option<PathBuf>,
 }
@@ -74,7 +76,8 @@
             at(3),
             spec.store,
         );
-        fs::write(&settings, text)?;
+        let evacuation = if spec.evacuation { "evacuation: true\n" } else { "" };
+        fs::write(&settings, text + evacuation)?;
         let output = match &spec.log {
             Some(file) => append(file)?.into(),
             None => Stdio::null(),
