--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -288,3 +288,6 @@
         Event::new("datagram_not_sent").with("to", to).with("why", e).debug();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/edge/src/peers/messages/tests.rs
+++ b/crates/edge/src/peers/messages/tests.rs
@@ -79,3 +79,36 @@
     // That the searcher was draining is known from its last entry, and that it left from its removal.
     assert_eq!(passed_on(changes), [1_002, 1_003, 1_004]);
 }
+
+/// Guards against datagrams that grow in deployments that never evacuate a zone.
+#[test]
+fn changes_of_zones_follow_a_datagram_only_if_there_are_any() {
+    let purpose = Purpose::StoreUpdate(update(1, 2..5));
+    let datagram = Datagram { facts: Vec::new(), zone_hosts: 3, config: 7, purpose };
+    let plain = bincode::serialize(&datagram).unwrap();
+    assert_eq!(datagram.encode(&[]).unwrap(), plain);
+    let zones = [
+        ZoneChange { zone: "a".into(), evacuated: true, revision: 9 },
+        ZoneChange { zone: "b".into(), evacuated: false, revision: 8 },
+    ];
+    let bytes = datagram.encode(&zones).unwrap();
+    for (bytes, zones) in [(&plain, &[][..]), (&bytes, &zones[..])] {
+        let decoded = Datagram::decode(bytes).unwrap();
+        assert_eq!((decoded.zone_hosts, decoded.config), (3, 7));
+        assert_eq!(decoded.decode_zones(bytes).unwrap(), zones);
+    }
+    assert!(datagram.decode_zones(&bytes[..bytes.len() - 1]).is_err());
+}
+
+/// The bound on the zones that are sent leaves room for the other content of a datagram.
+#[test]
+fn many_evacuated_zones_fit_into_a_datagram() {
+    let mut state = Evacuations::default();
+    for revision in 0..200 {
+        let zone = format!("{revision:0128}").into();
+        state.apply(&ZoneChange { zone, evacuated: true, revision });
+    }
+    let purpose = Purpose::StoreUpdate(update(1, 2..102));
+    let datagram = Datagram { facts: Vec::new(), zone_hosts: 3, config: 7, purpose };
+    assert!(datagram.encode(&state.changes()).unwrap().len() < 20 * 1024);
+}
--- a/crates/edge/src/store/reader/tests.rs
+++ b/crates/edge/src/store/reader/tests.rs
@@ -7,10 +7,15 @@
 
 /// Starts a platform, and a reader on it that has no other host.
 async fn start() -> (Scene, StoreReader) {
+    start_with("").await
+}
+
+/// Starts a platform, and a reader on it that has these settings besides the required ones.
+async fn start_with(settings: &str) -> (Scene, StoreReader) {
     let scene = Scene::start(&Layout::default()).await.unwrap();
     let text = format!(
         "host: h1\nzone: a\nlisten:\n  callers: 127.0.0.1:1\n  readiness: 127.0.0.1:2\n  \
-         peers: 127.0.0.1:3\n  metrics: 127.0.0.1:4\nstore: {}\n",
+         peers: 127.0.0.1:3\n  metrics: 127.0.0.1:4\nstore: {}\n{settings}",
         scene.store_address
     );
     let settings = EdgeSettings::parse("h1.yaml", &text).unwrap();
@@ -106,3 +111,75 @@
     reader.handle_notice(PeerNotice::StoreUpdate { update, config: 1 }).await;
     assert_eq!(reader.revision, revision);
 }
+
+const EVACUATION: &str = "evacuation: true\n";
+
+fn evacuated(reader: &StoreReader) -> Vec<String> {
+    reader.host.evacuations().in_force().iter().map(ToString::to_string).collect()
+}
+
+/// Guards against a first list of an old replica, which lacks an evacuation or has one that ended.
+#[tokio::test]
+async fn a_first_read_knows_the_evacuated_zones_whatever_replica_it_came_from() {
+    let (scene, mut reader) = start_with(EVACUATION).await;
+    scene.store.evacuate("b");
+    let old = scene.store.revision();
+    scene.store.evacuate("a");
+    scene.store.end_evacuation("b");
+    scene.store.answer_from_replicas([old]);
+    reader.read_store().await;
+    assert_eq!(evacuated(&reader), ["a"]);
+    assert!(reader.host.searchers_loaded.load(Ordering::Relaxed));
+    assert!(!reader.host.fleet.service(&"archive".into()).has_permitted_searcher());
+    assert_eq!(reader.host.config_version(), 1);
+}
+
+/// Guards against an end that is missed because the store lost the history with it.
+#[tokio::test]
+async fn an_end_is_seen_in_the_list_after_the_history_is_gone() {
+    let (scene, mut reader) = start_with(EVACUATION).await;
+    scene.store.evacuate("a");
+    reader.read_store().await;
+    scene.store.end_evacuation("a");
+    scene.store.evacuate("b");
+    scene.store.compact();
+    reader.read_store().await;
+    reader.read_store().await;
+    assert_eq!(evacuated(&reader), ["b"]);
+    assert!(reader.host.fleet.service(&"archive".into()).has_permitted_searcher());
+}
+
+/// Guards against a host that starts without the store and uses the searchers of a zone that its peer
+/// knows to be evacuated.
+#[tokio::test]
+async fn a_view_of_a_peer_has_the_evacuated_zones() {
+    let (scene, mut peer) = start_with(EVACUATION).await;
+    scene.store.evacuate("a");
+    peer.read_store().await;
+    let (_, mut reader) = start_with(EVACUATION).await;
+    reader.adopt_view(peer.host.store_view().unwrap());
+    assert_eq!(evacuated(&reader), ["a"]);
+    assert!(!reader.host.fleet.service(&"archive".into()).has_permitted_searcher());
+}
+
+/// Guards against an effect, or other calls of the store, where the setting does not enable it.
+#[tokio::test]
+async fn without_the_setting_evacuations_are_neither_read_nor_taken_over() {
+    let (scene, mut reader) = start().await;
+    scene.store.evacuate("a");
+    let before = scene.store.calls();
+    reader.read_store().await;
+    // The configuration, four pages of searchers and the changes.
+    assert_eq!(scene.store.calls() - before, 6);
+    scene.store.evacuate("b");
+    reader.read_store().await;
+    let (other_scene, mut peer) = start_with(EVACUATION).await;
+    other_scene.store.evacuate("a");
+    peer.read_store().await;
+    let (_, mut started) = start().await;
+    started.adopt_view(peer.host.store_view().unwrap());
+    for reader in [reader, started] {
+        assert!(evacuated(&reader).is_empty() && reader.host.zone_changes().is_empty());
+        assert!(reader.host.fleet.service(&"archive".into()).has_permitted_searcher());
+    }
+}
