--- a/tools/soak/src/check.rs
+++ b/tools/soak/src/check.rs
@@ -16,6 +16,7 @@
 use crate::callers::End;
 use crate::callers::Kind;
 use crate::callers::Seen;
+use crate::evacuations::EVACUATION_BOUND;
 use crate::world::Event;
 use crate::world::History;
 use crate::world::Target;
@@ -110,6 +111,7 @@
     checker.check_attempts();
     checker.check_extra();
     checker.check_notices(hosts);
+    checker.check_evacuations();
     for seen in seen {
         checker.check_answer(seen);
         checker.check_held(seen);
@@ -167,7 +169,7 @@
         };
         let since = configured[due].at.checked_sub(STABLE).unwrap_or(seen.sent);
         let disturbed = self.is_disturbed(since, seen.ended, |target| {
-            matches!(target, Target::Host(_) | Target::Store)
+            matches!(target, Target::Host(_) | Target::Store | Target::WayToStore)
         });
         disturbed || configured[due..].iter().any(|known| known.fetched == service)
     }
@@ -180,8 +182,9 @@
         };
         let since = drained.at.checked_sub(STABLE).unwrap_or(drained.at);
         at > drained.at + DRAIN_BOUND
-            && !self
-                .is_disturbed(since, at, |target| matches!(target, Target::Host(_) | Target::Store))
+            && !self.is_disturbed(since, at, |target| {
+                matches!(target, Target::Host(_) | Target::Store | Target::WayToStore)
+            })
     }
 
     fn check_attempts(&mut self) {
@@ -245,6 +248,44 @@
         self.add(broken);
     }
 
+    /// Checks that no request reaches a searcher of an evacuated zone after the bound. Faults of the
+    /// store or of hosts before the bound extend it, since these hosts could not learn of it in time.
+    /// A host that alone cannot reach the store learns from the others.
+    fn check_evacuations(&mut self) {
+        let mut broken = Vec::new();
+        for evacuated in &self.history.evacuated {
+            let bound = self.evacuation_bound(evacuated.from);
+            for searcher in &self.history.searchers {
+                if searcher.spec.zone != evacuated.zone {
+                    continue;
+                }
+                let arrivals = searcher.arrivals().into_iter().map(|arrival| arrival.at);
+                let late = arrivals.filter(|at| (bound..evacuated.until).contains(at));
+                broken.extend(late.map(|at| {
+                    let (id, zone) = (&searcher.spec.id, evacuated.zone);
+                    let after = at.saturating_duration_since(evacuated.from);
+                    ("evacuated zones", format!("{id} of {zone} got a request {after:?} after it"))
+                }));
+            }
+        }
+        self.add(broken);
+    }
+
+    /// Returns the time from which no request may reach a zone that was evacuated at `from`.
+    fn evacuation_bound(&self, from: Instant) -> Instant {
+        let mut bound = from + EVACUATION_BOUND;
+        let mut events: Vec<&Event> = self.history.events.iter().collect();
+        events.retain(|event| matches!(event.target, Target::Host(_) | Target::Store));
+        events.sort_by_key(|event| event.from);
+        for event in events {
+            let until = event.until.unwrap_or(event.from);
+            if event.from <= bound && until >= from {
+                bound = bound.max(until + EVACUATION_BOUND);
+            }
+        }
+        bound
+    }
+
     fn check_answer(&mut self, seen: &Seen) {
         let End::Answered(answer) = &seen.end else {
             return;
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -1,12 +1,13 @@
 //! Runs edge hosts as processes on loopback, injects faults from outside and checks what callers
 //! and searchers saw.
 //!
-//! `plan` draws the faults from a seed, `notices` what searchers state in their answers, `world` carries them out on `edge` processes and through
+//! `plan` draws the faults from a seed, `notices` what searchers state in their answers, `evacuations` which zones are evacuated, `world` carries them out on `edge` processes and through
 //! `proxy` connections, `callers` send requests meanwhile, `check` compares what both ends saw.
 
 mod callers;
 mod check;
 pub mod edge;
+mod evacuations;
 mod notices;
 mod plan;
 mod proxy;
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -13,6 +13,7 @@
 use crate::callers;
 use crate::callers::Record;
 use crate::check;
+use crate::evacuations;
 use crate::notices;
 use crate::plan;
 use crate::plan::Kinds;
@@ -68,6 +69,9 @@
         let rng = SmallRng::seed_from_u64(!seed);
         played.spawn(play_notices(world.clone(), seed, rng, faults_end));
     }
+    // Drawn on their own too.
+    let zones_rng = SmallRng::seed_from_u64(seed.rotate_left(32));
+    played.spawn(play_evacuations(world.clone(), seed, zones_rng, faults_end));
     while Instant::now() < faults_end {
         let action = plan::draw(kinds, &mut rng);
         println!("seed={seed} at_ms={} action={action:?}", began.elapsed().as_millis());
@@ -96,6 +100,25 @@
     Ok(Report { seed, requests: seen.len(), served, actions, broken })
 }
 
+/// Draws and plays evacuations, one after the other, until `end`.
+async fn play_evacuations(
+    world: Arc<World>,
+    seed: u64,
+    mut rng: SmallRng,
+    end: Instant,
+) -> io::Result<()> {
+    let began = Instant::now();
+    loop {
+        sleep(evacuations::pause(&mut rng)).await;
+        if Instant::now() >= end {
+            return Ok(());
+        }
+        let evacuation = evacuations::draw(&mut rng);
+        println!("seed={seed} at_ms={} evacuation={evacuation:?}", began.elapsed().as_millis());
+        world.play_evacuation(evacuation).await;
+    }
+}
+
 /// Draws and plays statements of searchers until `end`.
 async fn play_notices(
     world: Arc<World>,
--- a/tools/soak/src/world.rs
+++ b/tools/soak/src/world.rs
@@ -25,6 +25,8 @@
 
 use crate::edge;
 use crate::edge::Edge;
+use crate::evacuations::Evacuated;
+use crate::evacuations::Evacuation;
 use crate::notices::Notice;
 use crate::notices::Stated;
 use crate::notices::Statement;
@@ -53,6 +55,9 @@
 /// Time for which a new searcher is listed before the old one leaves.
 const OVERLAP: Duration = Duration::from_millis(600);
 
+/// Time between two changes of an evacuation that flickers.
+const FLICKER: Duration = Duration::from_millis(50);
+
 /// Longest time that a planned stop may take; the settings grant 6 s.
 const STOP_LIMIT: Duration = Duration::from_millis(6_500);
 
@@ -69,8 +74,10 @@
     Host(usize),
     /// A host, by a planned stop.
     Stop(usize),
-    /// The store, or the way of some host to it.
+    /// The store, towards every host.
     Store,
+    /// The way of some host to the store.
+    WayToStore,
     /// Some searcher, by a fault.
     Searcher,
 }
@@ -113,6 +120,8 @@
     pub configured: Vec<Configured>,
     /// Searchers that left.
     pub drained: Vec<Drained>,
+    /// Evacuations that have ended.
+    pub evacuated: Vec<Evacuated>,
     /// What searchers stated in their answers, once they no longer did.
     pub stated: Vec<Stated>,
     /// Every searcher that there was.
@@ -191,7 +200,7 @@
                 number: u8::try_from(index + 1).map_err(io::Error::other)?,
                 port: size.port,
                 store: to_store.address,
-                evacuation: false,
+                evacuation: true,
                 log: size.logs.as_ref().map(|dir| dir.join(format!("e{}.log", index + 1))),
             };
             let edge = tokio::sync::Mutex::new(Edge::start(&spec)?);
@@ -230,7 +239,7 @@
             Action::Kill { host, down } => self.kill(host % self.hosts.len(), down).await?,
             Action::Pause { host, time } => self.pause(host % self.hosts.len(), time).await?,
             Action::HarmStore { host, harm, time } => {
-                let event = self.begin(Target::Store);
+                let event = self.begin(Target::WayToStore);
                 let host = &self.hosts[host % self.hosts.len()];
                 host.to_store.set(harm);
                 sleep(time).await;
@@ -319,6 +328,23 @@
         Ok(())
     }
 
+    /// Evacuates a zone for a while.
+    pub async fn play_evacuation(&self, evacuation: Evacuation) {
+        let zone = ZONES[evacuation.zone % ZONES.len()];
+        self.store.evacuate(zone);
+        if evacuation.flickers {
+            sleep(FLICKER).await;
+            self.store.end_evacuation(zone);
+            sleep(FLICKER).await;
+            self.store.evacuate(zone);
+        }
+        let from = Instant::now();
+        sleep(evacuation.time).await;
+        let until = Instant::now();
+        self.store.end_evacuation(zone);
+        self.lock().evacuated.push(Evacuated { zone, from, until });
+    }
+
     /// Waits until no host is being stopped, started or held, and every one is ready.
     pub async fn settle(&self) {
         for host in 0..self.hosts.len() {
