Choose searchers and hedges by the load that searchers state

Searchers may state running and waiting requests, slots and the speed of their machine. A host combines the statement with its own outstanding requests into one expected wait. The requests of other hosts move from the stated number to their average within the time of a request, and each choice draws them from what is known, so that hosts that heard the same statement choose different searchers. No hedge goes to a searcher that is equally loaded. Searchers that state nothing cost what they did before.

--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -16,7 +16,9 @@
 use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::routing::ConnectionShare;
+use galenaloft_policy::routing::ExpectedQueue;
 use galenaloft_policy::routing::ExtraRequestShare;
+use galenaloft_policy::routing::is_hedge_useful;
 use galenaloft_policy::verdict::Verdict;
 use galenaloft_runtime::clock::now;
 use galenaloft_runtime::clock::sleep_until;
@@ -87,6 +89,8 @@
     /// Time from which a hedge may be sent, because the last attempt is overdue by then. `None` if
     /// no hedge is scheduled.
     hedge_at: Option<Instant>,
+    /// Searcher that the last attempt was sent to.
+    last_sent: Option<Arc<Searcher>>,
     /// Whether a searcher may have run the request.
     may_have_run: bool,
     /// Whether the only attempt was charged to the budget of extra requests in advance.
@@ -112,6 +116,7 @@
             allowed: Vec::new(),
             running: FuturesUnordered::new(),
             hedge_at: None,
+            last_sent: None,
             may_have_run: false,
             charged_as_extra: false,
             finished: finished.clone(),
@@ -287,6 +292,13 @@
         let Choice::Searcher(searcher) = self.choose_searcher(now) else {
             return;
         };
+        let attempt_queue = self.last_sent.as_ref().and_then(|sent| self.queue(sent, now));
+        if !is_hedge_useful(attempt_queue, self.queue(&searcher, now)) {
+            // The loads are compared again once the attempt is overdue for as long again.
+            let estimate = self.host.latency_estimate(&self.request.route);
+            self.hedge_at = Some(now + estimate.overdue_after());
+            return;
+        }
         let allowed = !searcher.is_suspect() && self.spend_extra(now);
         self.log_extra_attempt("hedge", &searcher, allowed, now);
         if allowed && !self.send(&searcher, now) {
@@ -357,6 +369,7 @@
             return false;
         };
         lock(&self.tried).push(searcher.entry.id.clone());
+        self.last_sent = Some(searcher.clone());
         self.hedge_at = Some(self.next_hedge_at(searcher, now));
         self.running.push(attempt::start(&self.host, &self.request, lease));
         true
@@ -370,7 +383,11 @@
         let factor = typical.map_or(1.0, |typical| {
             (typical / estimate.median()).clamp(MIN_HEDGE_WAIT_FACTOR, MAX_HEDGE_WAIT_FACTOR)
         });
-        let wait = estimate.overdue_after().mul_f64(factor);
+        let mut wait = estimate.overdue_after().mul_f64(factor);
+        if let Some(queue) = self.queue(searcher, now) {
+            // An attempt is not overdue while it is expected to wait for a slot or to run.
+            wait = wait.max(Duration::from_secs_f64(queue.last_wait + queue.work));
+        }
         let objective = self.request.arrived_at + self.request.route.target_latency;
         let max_wait = objective.saturating_duration_since(now) / HEDGE_WAIT_DIVISOR;
         match max_wait.is_zero() {
@@ -379,6 +396,12 @@
         }
     }
 
+    /// Returns what delays requests at a searcher, or `None` if it has stated no load lately.
+    fn queue(&self, searcher: &Searcher, now: Instant) -> Option<ExpectedQueue> {
+        let prior = self.host.latency_estimate(&self.request.route).median();
+        searcher.queue(&self.request.route, prior, now)
+    }
+
     /// Moves the attempts that are still running to the background, so that their connections can
     /// be reused if they end soon.
     fn finish_in_background(&mut self) {
--- a/crates/edge/src/searchers/notices.rs
+++ b/crates/edge/src/searchers/notices.rs
@@ -23,6 +23,9 @@
             log_change("searcher_leaving", &searcher.entry);
             searcher.drain();
         }
+        if let Some(load) = notice.load {
+            lock(&searcher.health).record_load(load, now);
+        }
         let change = lock(&searcher.gate).record(notice, now);
         if change.paused {
             let pause = notice.pause.unwrap_or_default();
--- a/crates/edge/src/searchers/searcher.rs
+++ b/crates/edge/src/searchers/searcher.rs
@@ -13,6 +13,7 @@
 use galenaloft_policy::directory::SearcherState;
 use galenaloft_policy::notice::Gate;
 use galenaloft_policy::route::Route;
+use galenaloft_policy::routing::ExpectedQueue;
 use galenaloft_policy::routing::ReplicaView;
 use galenaloft_policy::routing::SearcherHealth;
 use galenaloft_runtime::sync::lock;
@@ -118,9 +119,16 @@
     }
 
     /// Returns the expected cost of one more attempt; lower is better. `prior` is the expected
-    /// latency, in seconds, without observations.
+    /// latency, in seconds, without observations. If the searcher states its load, the cost varies at
+    /// random with what is unknown of it.
     pub fn cost(&self, route: &Route, prior: f64, now: Instant) -> f64 {
-        lock(&self.health).cost(&self.replica_view(route, prior), now)
+        lock(&self.health).drawn_cost(&self.replica_view(route, prior), rand::random(), now)
+    }
+
+    /// Returns what delays requests at the searcher, or `None` if it has stated no load lately.
+    /// `prior` is as for [`Self::cost`].
+    pub fn queue(&self, route: &Route, prior: f64, now: Instant) -> Option<ExpectedQueue> {
+        lock(&self.health).queue(&self.replica_view(route, prior), now)
     }
 
     /// Returns the expected latency of one more attempt, in seconds. `prior` is what is expected
--- a/crates/policy/src/notice/mod.rs
+++ b/crates/policy/src/notice/mod.rs
@@ -18,3 +18,4 @@
 pub use limit::report_interval;
 pub use statement::Notice;
 pub use statement::StatedLimit;
+pub use statement::StatedLoad;
--- a/crates/policy/src/notice/statement.rs
+++ b/crates/policy/src/notice/statement.rs
@@ -16,6 +16,21 @@
     Limited(RequestRate),
 }
 
+/// What an answer states about the requests at its searcher.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StatedLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests that can run at a time; at least 1.
+    pub slots: u32,
+    /// How long work takes on the machine at this moment, as a multiple of the usual time.
+    pub slowness: f64,
+    /// Whether the answer is to a request that ran, which the searcher may still count as running.
+    pub after_run: bool,
+}
+
 /// Statements of a searcher about itself in one answer, whatever the answer is to.
 #[derive(Debug, Default)]
 pub struct Notice {
@@ -25,4 +40,6 @@
     pub pause: Option<Duration>,
     /// Limit on the requests from all hosts together.
     pub limit: StatedLimit,
+    /// Requests at the searcher, if it states them.
+    pub load: Option<StatedLoad>,
 }
--- a/crates/policy/src/routing/health.rs
+++ b/crates/policy/src/routing/health.rs
@@ -5,7 +5,10 @@
 use std::time::Instant;
 
 use crate::ids::RouteName;
+use crate::notice::StatedLoad;
 use crate::routing::RecentLatencies;
+use crate::routing::load::EXPECTED_DRAW;
+use crate::routing::load::ObservedLoad;
 
 /// Age of the oldest running attempt, as a multiple of the expected latency, from which its
 /// searcher is assumed to be pausing.
@@ -69,6 +72,8 @@
     silent_since: Option<Instant>,
     /// When the last of these requests was abandoned.
     stalled_at: Option<Instant>,
+    /// Load that the searcher stated last; `None` if it has stated none.
+    load: Option<ObservedLoad>,
 }
 
 impl SearcherHealth {
@@ -84,9 +89,26 @@
         }
     }
 
+    /// Records the load that the searcher stated in a reply that was received at `now`. The exchange
+    /// has not been recorded as ended yet.
+    pub fn record_load(&mut self, stated: StatedLoad, now: Instant) {
+        let own = self.running.len();
+        self.load = Some(ObservedLoad::new(stated, own, self.load.as_ref(), now));
+    }
+
+    /// Returns the load that the searcher stated lately.
+    fn load(&self, now: Instant) -> Option<&ObservedLoad> {
+        self.load.as_ref().filter(|load| load.is_current(now))
+    }
+
     /// Records an answer of the searcher and its latency.
     pub fn record_answer(&mut self, route: &RouteName, latency: Duration, now: Instant) {
         self.record_recovered();
+        let latency = match self.load(now) {
+            // The wait for a slot follows from the load, and is not to be counted twice.
+            Some(load) => latency.div_f64(load.queue_factor()),
+            None => latency,
+        };
         self.record_latency(route, latency, now);
     }
 
@@ -94,6 +116,10 @@
         if self.latencies.len() >= MAX_ROUTES && !self.latencies.contains_key(route) {
             self.latencies.clear();
         }
+        let latency = match self.load(now) {
+            Some(load) => latency.div_f64(load.slowness(now)),
+            None => latency,
+        };
         self.latencies
             .entry(route.clone())
             .and_modify(|estimate| estimate.record(latency, now))
@@ -176,27 +202,57 @@
 
     /// Returns the typical latency of a route in seconds, or `None` while no latency is known.
     pub fn typical_latency(&self, route: &RouteName) -> Option<f64> {
-        self.latencies.get(route).map(RecentLatencies::median)
+        let slowness = self.load.as_ref().map_or(1.0, ObservedLoad::stated_slowness);
+        self.latencies.get(route).map(|latencies| latencies.median() * slowness)
     }
 
     /// Returns the expected latency of one more attempt, in seconds, without the effect of pauses.
     pub fn expected_latency(&self, view: &ReplicaView<'_>, now: Instant) -> f64 {
-        let rounds_ahead = (self.running.len() as f64 / f64::from(view.slots.max(1))).floor();
-        self.unloaded_latency(view, now) * (1.0 + rounds_ahead)
+        self.drawn_latency(view, EXPECTED_DRAW, now)
+    }
+
+    /// Returns the latency of one more attempt, in seconds, if `draw`, from 0.0 to 1.0, picks the number
+    /// of requests that other hosts have at a searcher that states its load.
+    fn drawn_latency(&self, view: &ReplicaView<'_>, draw: f64, now: Instant) -> f64 {
+        let latency = self.unloaded_latency(view, now);
+        match self.load(now) {
+            Some(load) => latency + load.wait(self.running.len(), latency, draw, now),
+            None => {
+                let rounds_ahead =
+                    (self.running.len() as f64 / f64::from(view.slots.max(1))).floor();
+                latency * (1.0 + rounds_ahead)
+            }
+        }
+    }
+
+    /// Returns what delays a request that this host sends now, or the last one that it has sent, or
+    /// `None` if the searcher has stated no load lately.
+    pub fn queue(&self, view: &ReplicaView<'_>, now: Instant) -> Option<ExpectedQueue> {
+        let load = self.load(now)?;
+        let work = self.unloaded_latency(view, now);
+        let own = self.running.len();
+        Some(ExpectedQueue {
+            work,
+            next_wait: load.wait(own, work, EXPECTED_DRAW, now),
+            last_wait: load.wait(own.saturating_sub(1), work, EXPECTED_DRAW, now),
+            is_pausing: self.is_pausing(view, now),
+        })
     }
 
     /// Returns the expected cost of one more attempt, in seconds. A lower cost is better.
     pub fn cost(&self, view: &ReplicaView<'_>, now: Instant) -> f64 {
-        let latency = self.unloaded_latency(view, now);
-        let mut cost = self.expected_latency(view, now);
+        self.drawn_cost(view, EXPECTED_DRAW, now)
+    }
+
+    /// Returns the cost of one more attempt, in seconds, if `draw`, from 0.0 to 1.0, picks the number of
+    /// requests that other hosts have at a searcher that states its load. Random draws keep the hosts
+    /// from choosing the same searcher.
+    pub fn drawn_cost(&self, view: &ReplicaView<'_>, draw: f64, now: Instant) -> f64 {
+        let mut cost = self.drawn_latency(view, draw, now);
         if !view.local {
             cost += REMOTE_COST_SHARE * view.objective.as_secs_f64();
         }
-        let oldest_sent = self.running.iter().min();
-        let age =
-            oldest_sent.map_or(0.0, |sent| now.saturating_duration_since(*sent).as_secs_f64());
-        let pausing = age > (latency * PAUSE_FACTOR).max(MIN_PAUSE_AGE.as_secs_f64());
-        if pausing || self.is_stalled(now) {
+        if self.is_pausing(view, now) || self.is_stalled(now) {
             cost += PAUSE_COST;
         }
         match self.is_avoided(now) {
@@ -205,6 +261,19 @@
         }
     }
 
+    /// Returns whether the oldest running attempt takes so long that the searcher seems to pause.
+    fn is_pausing(&self, view: &ReplicaView<'_>, now: Instant) -> bool {
+        let Some(oldest_sent) = self.running.iter().min() else {
+            return false;
+        };
+        let expected = match self.load(now) {
+            Some(_) => self.expected_latency(view, now),
+            None => self.unloaded_latency(view, now),
+        };
+        let age = now.saturating_duration_since(*oldest_sent).as_secs_f64();
+        age > (expected * PAUSE_FACTOR).max(MIN_PAUSE_AGE.as_secs_f64())
+    }
+
     /// Returns whether an attempt was abandoned recently and no answer has arrived since.
     fn is_stalled(&self, now: Instant) -> bool {
         self.stalled_at.is_some_and(|at| now.saturating_duration_since(at) < STALL_TTL)
@@ -212,19 +281,34 @@
 
     /// Returns the expected latency of an attempt on an idle searcher, in seconds.
     fn unloaded_latency(&self, view: &ReplicaView<'_>, now: Instant) -> f64 {
-        let prior = view.prior;
+        let slowness = self.load(now).map_or(1.0, |load| load.slowness(now));
+        let prior = view.prior * slowness;
         let Some(estimate) = self.latencies.get(view.route) else {
             return prior;
         };
+        let latency = estimate.median() * slowness;
         // A searcher that was slow is tried again once its latencies are stale. A hedge limits the
         // cost of that trial.
         match estimate.is_stale(now) {
-            true => estimate.median().min(prior),
-            false => estimate.median(),
+            true => latency.min(prior),
+            false => latency,
         }
     }
 }
 
+/// What delays requests at a searcher that states its load. Times are in seconds.
+#[derive(Debug, Clone, Copy)]
+pub struct ExpectedQueue {
+    /// Time that a request takes once it runs.
+    pub work: f64,
+    /// Expected wait for a slot of a request that this host sends now.
+    pub next_wait: f64,
+    /// Expected wait for a slot of the last request that this host has sent, if it is still there.
+    pub last_wait: f64,
+    /// Whether the searcher seems to pause.
+    pub is_pausing: bool,
+}
+
 /// Properties of a request and of a searcher that a choice considers in addition to its health.
 #[derive(Debug, Clone, Copy)]
 pub struct ReplicaView<'a> {
--- a/crates/policy/src/routing/hedge.rs
+++ b/crates/policy/src/routing/hedge.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::routing::ExpectedQueue;
 use crate::routing::LatencyWindow;
 
 /// Quantile of the recent latencies after which an attempt is hedged.
@@ -14,6 +15,22 @@
 /// Maximum number of unused hedges that the budget accumulates.
 const MAX_CREDIT: f64 = 50.0;
 
+/// Wait for a slot, as a share of the work, up to which a hedge begins almost at once.
+const SHORT_WAIT: f64 = 0.25;
+
+/// Returns whether a hedge of an attempt that is overdue may be answered first, for load that all
+/// replicas share. `attempt` is the queue at the searcher of the attempt, `hedge` that at the searcher
+/// of the hedge; `None` where no load is stated. If both searchers are equally loaded, the load explains
+/// the delay and a hedge only adds to it.
+pub fn is_hedge_useful(attempt: Option<ExpectedQueue>, hedge: Option<ExpectedQueue>) -> bool {
+    let (Some(attempt), Some(hedge)) = (attempt, hedge) else {
+        return true;
+    };
+    attempt.is_pausing
+        || hedge.next_wait < attempt.last_wait
+        || hedge.next_wait <= hedge.work * SHORT_WAIT
+}
+
 /// Hedging of one kind of request within a budget of extra load.
 #[derive(Debug)]
 pub struct HedgePolicy {
