Bound the requests to searchers that warm up

A service may state how many requests a second its searchers take from all hosts together while they warm up. The limit uses the mechanism of stated limits, with parts for windows of one second: nothing is sent before the limit is divided, and a part grows one report later than it shrinks. It ends by itself. Hosts learn of a warm-up from the searcher's entry, its answers to health checks and each other. Such a searcher is expected to be 1.6 times slower unless it states its speed.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -175,6 +175,7 @@
             // includes the time for that head.
             limits.idle_timeout = config.limits.idle_timeout + config.limits.head_timeout;
         });
+        self.fleet.set_warmup_rates(&config.services, now());
         *current = Some(Arc::new(config));
         true
     }
@@ -285,7 +286,14 @@
 
     /// Takes over what a searcher states about itself in a reply.
     pub fn record_notice(&self, searcher: &Arc<Searcher>, reply: &Response<Bytes>, now: Instant) {
-        let (notice, invalid) = searcher::notice(reply);
+        let (notice, mut invalid) = searcher::notice(reply);
+        if self.fleet.bounds_warmup(&searcher.entry.service) {
+            match searcher::warmup_left(reply) {
+                Ok(Some(left)) => self.fleet.record_warmup(searcher, left, now),
+                Ok(None) => {}
+                Err(header) => invalid.push(header),
+            }
+        }
         for header in invalid {
             let value = reply.headers().get(&header);
             Event::new("searcher_notice_invalid")
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -122,6 +122,11 @@
                 host.fleet.record_limit_reports(&host_id, &reports, now());
             }
         }
+        Purpose::Warmups(reports) => {
+            if let Some(host_id) = sender_id {
+                host.fleet.record_warmup_reports(&host_id, &reports, now());
+            }
+        }
         Purpose::Report(report) => {
             let is_new = match &report {
                 Report::Crash(crash) => host.record_crash(crash.clone(), now()),
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -15,6 +15,7 @@
 use galenaloft_policy::ids::StoreRevision;
 use galenaloft_policy::membership::HostFact;
 use galenaloft_policy::notice::LimitReport;
+use galenaloft_policy::notice::WarmupReport;
 use galenaloft_policy::quarantine::Crash;
 use galenaloft_policy::route::Configuration;
 use serde::Deserialize;
@@ -53,6 +54,8 @@
     Report(Report),
     /// Reports the limits of searchers, and the demand for them.
     Limits(Vec<LimitReport>),
+    /// Reports searchers that warm up, and the demand for them.
+    Warmups(Vec<WarmupReport>),
 }
 
 /// What a host saw of a searcher and other hosts need to know.
--- a/crates/edge/src/searchers/fleet.rs
+++ b/crates/edge/src/searchers/fleet.rs
@@ -8,10 +8,12 @@
 use galenaloft_policy::directory::Directory;
 use galenaloft_policy::directory::SearcherEntry;
 use galenaloft_policy::directory::SearcherState;
+use galenaloft_policy::ids::RequestRate;
 use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::ids::ZoneId;
 use galenaloft_policy::notice::LeavingRuns;
+use galenaloft_runtime::clock::now;
 use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 use tokio::sync::Notify;
@@ -30,6 +32,8 @@
     pub(super) limited: Mutex<BTreeMap<SearcherId, Arc<Searcher>>>,
     /// Signalled when the limit of a searcher begins or ends.
     pub limits_changed: Notify,
+    /// Requests a second that searchers take while they warm up, by service.
+    pub(super) warmup_rates: Mutex<BTreeMap<ServiceId, RequestRate>>,
 }
 
 impl Fleet {
@@ -41,6 +45,7 @@
             leaving: Mutex::default(),
             limited: Mutex::default(),
             limits_changed: Notify::new(),
+            warmup_rates: Mutex::default(),
         }
     }
 
@@ -72,6 +77,7 @@
     /// observed health and connections; those that are no longer listed drain, and those that are
     /// leaving stay drained if they are listed again.
     pub fn update(&self, directory: &Directory) {
+        let now = now();
         let mut listed: BTreeMap<ServiceId, Vec<Arc<Searcher>>> = BTreeMap::new();
         for entry in directory.entries() {
             let known = self.find(&entry.service, &entry.id);
@@ -80,9 +86,12 @@
                 None => {
                     let local = entry.zone == self.zone;
                     log_change("searcher_listed", entry);
-                    Arc::new(Searcher::new(entry.clone(), local))
+                    let searcher = Arc::new(Searcher::new(entry.clone(), local));
+                    self.apply_warmup_rate(&searcher, now);
+                    searcher
                 }
             };
+            self.record_listed_warmup(&searcher, entry.warmup_left, now);
             let run = entry.run();
             if entry.state == SearcherState::Draining && lock(&self.leaving).record(&run) {
                 log_change("searcher_draining", entry);
--- a/crates/edge/src/searchers/searcher.rs
+++ b/crates/edge/src/searchers/searcher.rs
@@ -61,6 +61,8 @@
     pub health: Mutex<SearcherHealth>,
     /// What it states about the requests that it takes from this host.
     pub gate: Mutex<Gate>,
+    /// Time to warm up in the newest entry that was listed.
+    pub(super) listed_warmup: Mutex<Duration>,
     /// Whether a probe is running.
     probe_running: AtomicBool,
     pool: Mutex<Pool>,
@@ -76,6 +78,7 @@
             draining,
             health: Mutex::default(),
             gate: Mutex::default(),
+            listed_warmup: Mutex::default(),
             probe_running: AtomicBool::new(false),
             pool: Mutex::default(),
         }
--- a/crates/edge/src/searchers/service.rs
+++ b/crates/edge/src/searchers/service.rs
@@ -110,16 +110,14 @@
     /// requests only up to a limit.
     pub fn record_demand(&self, route: &Route, prior: f64, now: Instant) {
         let searchers = lock(&self.searchers);
-        if searchers.iter().all(|searcher| lock(&searcher.gate).limit().is_none()) {
+        if searchers.iter().all(|searcher| !lock(&searcher.gate).is_limited(now)) {
             return;
         }
         let usable = searchers.iter().filter(|searcher| searcher.is_usable());
         let costs = usable.map(|searcher| (searcher.cost(route, prior, now), searcher));
         let preferred = costs.min_by(|a, b| a.0.total_cmp(&b.0));
-        if let Some((_, searcher)) = preferred
-            && let Some(limit) = lock(&searcher.gate).shared_limit()
-        {
-            limit.record_demand(now);
+        if let Some((_, searcher)) = preferred {
+            lock(&searcher.gate).record_demand(now);
         }
     }
 
--- a/crates/policy/src/notice/limit/shared.rs
+++ b/crates/policy/src/notice/limit/shared.rs
@@ -15,6 +15,7 @@
 use crate::notice::limit::demand::Demand;
 use crate::notice::limit::division::Demands;
 use crate::notice::limit::division::divide_limit;
+use crate::notice::limit::division::divide_warmup_limit;
 use crate::routing::rank_hosts;
 
 /// Number of report intervals after which the demand of a silent host is unknown.
@@ -44,11 +45,21 @@
     at: Instant,
 }
 
+/// Why a searcher has a limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LimitCause {
+    /// It has stated the limit.
+    Stated,
+    /// It warms up, and its service has a limit for that.
+    Warmup,
+}
+
 /// The limit that a searcher stated last, the demand for it, and this host's part.
 ///
 /// The part is spent like tokens: they accrue at its rate up to its burst, and each request takes one.
 #[derive(Debug)]
 pub struct SharedLimit {
+    cause: LimitCause,
     /// The limit, or `None` if the searcher stated that it has none any more.
     limit: Option<RequestRate>,
     /// When the searcher stated that, to this host or another one.
@@ -64,6 +75,8 @@
     /// Sums of other zones that hosts of this zone passed on.
     passed_on: BTreeMap<ZoneId, Reported>,
     part: LimitPart,
+    /// Part of the last division if it may have been larger than what this host took of it.
+    last_division: Option<LimitPart>,
     tokens: f64,
     refilled_at: Instant,
     /// When this host last checked the searcher's health to hear of the limit.
@@ -77,7 +90,22 @@
     /// Creates a limit that a searcher stated at `stated_at`. This host may send one request until the
     /// limit is divided.
     pub fn new(limit: RequestRate, stated_at: Instant, now: Instant) -> Self {
+        Self::with_cause(LimitCause::Stated, limit, stated_at, now)
+    }
+
+    /// Creates the limit of a searcher that warms up, which it stated at `stated_at`. This host may send
+    /// nothing until the limit is divided: one request of each host would exceed it in a large fleet.
+    pub fn for_warmup(limit: RequestRate, stated_at: Instant, now: Instant) -> Self {
+        Self::with_cause(LimitCause::Warmup, limit, stated_at, now)
+    }
+
+    fn with_cause(cause: LimitCause, limit: RequestRate, stated_at: Instant, now: Instant) -> Self {
+        let tokens = match cause {
+            LimitCause::Stated => limit.min(1.0),
+            LimitCause::Warmup => 0.0,
+        };
         Self {
+            cause,
             limit: Some(limit),
             stated_at,
             demand: Demand::default(),
@@ -87,7 +115,8 @@
             zones: BTreeMap::new(),
             passed_on: BTreeMap::new(),
             part: LimitPart { rate: 0.0, burst: 1.0 },
-            tokens: limit.min(1.0),
+            last_division: None,
+            tokens,
             refilled_at: now,
             checked_at: None,
             check_position: 0,
@@ -122,7 +151,7 @@
                 self.refill(now);
                 self.part.rate *= new / old;
             }
-            (None, Some(new)) => *self = Self::new(new, stated_at, now),
+            (None, Some(new)) => *self = Self::with_cause(self.cause, new, stated_at, now),
             (_, _) => {}
         }
         self.limit = limit;
@@ -208,7 +237,16 @@
         self.zone_demand = sharers.hosts.iter().filter_map(|host| hosts.get(host)).sum();
         let mut zones = demands(&self.passed_on);
         zones.append(&mut demands(&self.zones));
-        self.part = divide_limit(limit, searcher, sharers, &hosts, &zones);
+        self.part = match self.cause {
+            LimitCause::Stated => divide_limit(limit, searcher, sharers, &hosts, &zones),
+            LimitCause::Warmup => {
+                let part = divide_warmup_limit(limit, searcher, sharers, &hosts, &zones);
+                // A part grows one report later than it shrinks, since the host whose part shrinks in
+                // return may not know of it yet.
+                let last = self.last_division.replace(part).unwrap_or(part);
+                LimitPart { rate: part.rate.min(last.rate), burst: part.burst.min(last.burst) }
+            }
+        };
         self.check_position = check_position(searcher, sharers);
     }
 
--- a/crates/policy/src/notice/limit/tests.rs
+++ b/crates/policy/src/notice/limit/tests.rs
@@ -15,6 +15,7 @@
 use crate::notice::Gate;
 use crate::notice::Notice;
 use crate::notice::StatedLimit;
+use crate::notice::WarmupReport;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -47,19 +48,23 @@
     told_at: Option<Instant>,
     next_report: Instant,
     lives: std::ops::Range<Duration>,
+    /// When it learns of the searcher. It sends no requests before.
+    knows_from: Duration,
 }
 
 /// A fleet that sends requests to one searcher, which states a limit from the begin.
 struct Fleet {
     limit: RequestRate,
     hosts: Vec<Host>,
+    /// Whether the searcher warms up and states no limit; hosts learn it from its entry.
+    warms_up: bool,
     /// Whether zones report sums, as in a large fleet.
     by_zones: bool,
     report_interval: Duration,
     rng: StdRng,
     start: Instant,
     /// Reports under way: when they arrive, where and from whom.
-    reports: Vec<(Instant, usize, usize, LimitReport)>,
+    reports: Vec<(Instant, usize, usize, LimitReport, Option<Duration>)>,
     /// Requests of hosts that had been told for [`HOST_GRACE`], as times since the start.
     counted: Vec<Duration>,
     sent: Vec<Duration>,
@@ -79,11 +84,13 @@
             told_at: None,
             next_report: start + report_interval.mul_f64(rng.random()),
             lives: Duration::ZERO..Duration::MAX,
+            knows_from: Duration::ZERO,
         });
         let hosts = hosts.collect();
         Self {
             limit,
             hosts,
+            warms_up: false,
             by_zones,
             report_interval,
             rng,
@@ -94,6 +101,20 @@
         }
     }
 
+    /// Makes the searcher warm up from the begin instead of stating a limit. The entry that says so
+    /// reaches the hosts within a second, and a host sends nothing before.
+    fn warm_up(&mut self, time: Duration) {
+        self.warms_up = true;
+        for number in 0..self.hosts.len() {
+            let known_at = self.rng.random_range(0..1_000) * MS;
+            let host = &mut self.hosts[number];
+            host.knows_from = known_at;
+            host.gate.set_warmup_rate(Some(self.limit), self.start);
+            host.gate.record_warmup(time - known_at, self.start + known_at);
+            host.next_report = self.start + known_at;
+        }
+    }
+
     fn is_alive(&self, number: usize, at: Duration) -> bool {
         self.hosts[number].lives.contains(&at)
     }
@@ -122,7 +143,7 @@
             let now = self.start + at;
             self.deliver(now);
             for number in 0..self.hosts.len() {
-                if !self.is_alive(number, at) {
+                if !self.is_alive(number, at) || at < self.hosts[number].knows_from {
                     continue;
                 }
                 if self.rng.random::<f64>() < self.hosts[number].demand * STEP.as_secs_f64() {
@@ -139,9 +160,7 @@
     fn request(&mut self, number: usize, at: Duration) {
         let now = self.start + at;
         let host = &mut self.hosts[number];
-        if let Some(limit) = host.gate.shared_limit() {
-            limit.record_demand(now);
-        }
+        host.gate.record_demand(now);
         if host.gate.opens_at(now).is_some() {
             return;
         }
@@ -151,6 +170,9 @@
         }
         self.sent.push(at);
         host.told_at.get_or_insert(now);
+        if self.warms_up {
+            return;
+        }
         let notice = Notice { limit: StatedLimit::Limited(self.limit), ..Notice::default() };
         host.gate.record(&notice, now);
     }
@@ -161,7 +183,13 @@
         let sharers = self.sharers(number, at);
         let interval = self.report_interval;
         self.hosts[number].next_report = now + interval;
-        let Some(limit) = self.hosts[number].gate.shared_limit() else {
+        let gate = &mut self.hosts[number].gate;
+        let left = gate.warmup().left(now);
+        let shared = match self.warms_up {
+            true => gate.warmup().shared_limit(),
+            false => gate.shared_limit(),
+        };
+        let Some(limit) = shared else {
             return;
         };
         limit.divide(&run().searcher, &sharers, interval, now);
@@ -178,7 +206,8 @@
             if other != number && (in_scope || crosses) && self.rng.random::<f64>() > 0.02 {
                 let delay = self.rng.random_range(1..20) * MS;
                 let report = if in_scope { &report } else { &zone_report };
-                sent.push((now + delay, other, number, report.clone()));
+                let left = self.warms_up.then_some(left);
+                sent.push((now + delay, other, number, report.clone(), left));
             }
         }
         self.reports.extend(sent);
@@ -187,9 +216,18 @@
     fn deliver(&mut self, now: Instant) {
         let (due, later) = self.reports.drain(..).partition(|(at, ..)| *at <= now);
         self.reports = later;
-        let due: Vec<(Instant, usize, usize, LimitReport)> = due;
-        for (_, to, from, report) in due {
-            self.hosts[to].gate.record_report(&id(from), &report, now);
+        let due: Vec<(Instant, usize, usize, LimitReport, Option<Duration>)> = due;
+        for (_, to, from, report, left) in due {
+            let gate = &mut self.hosts[to].gate;
+            match left {
+                Some(left) => {
+                    let report = WarmupReport { left, limit: report };
+                    gate.record_warmup_report(&id(from), &report, now);
+                }
+                None => {
+                    gate.record_report(&id(from), &report, now);
+                }
+            }
         }
     }
 
@@ -202,6 +240,15 @@
         from.map(in_window).max().unwrap_or_default()
     }
 
+    /// Returns the most requests of all hosts in any second of the given time.
+    fn max_in_second(&self, time: Duration) -> usize {
+        let in_window = |begin: &Duration| {
+            self.sent.iter().filter(|at| (*begin..*begin + secs(1)).contains(*at)).count()
+        };
+        let from = self.sent.iter().filter(|at| **at < time);
+        from.map(in_window).max().unwrap_or_default()
+    }
+
     /// Returns the share of the limit that was used between these times.
     fn used(&self, from: Duration, to: Duration) -> f64 {
         let sent = self.sent.iter().filter(|at| (from..to).contains(*at)).count();
@@ -315,3 +362,29 @@
     assert!(!limit.begin_check(now + 4_000 * MS));
     assert!(limit.begin_check(now + 4_100 * MS));
 }
+
+/// Guards against hosts that each send a first request, or save up requests, to a searcher that warms up:
+/// in a large fleet that alone exceeds what it takes. Afterwards nothing is held back.
+#[test]
+fn hosts_together_keep_the_bound_of_a_searcher_that_warms_up() {
+    for seed in 0..2 {
+        for (count, zones, excess) in
+            [(8, 3, 10.0), (65, 3, 10.0), (102, 3, 10.0), (295, 6, 10.0), (295, 6, 40.0)]
+        {
+            for rate in [4.0, 10.0, 40.0] {
+                let mut fleet = Fleet::new(rate, &uneven(count, rate * excess), zones, seed);
+                fleet.warm_up(secs(15));
+                fleet.play(secs(20));
+                let most = fleet.max_in_second(secs(14));
+                let case = format!("{rate} a second, {count} hosts, {excess} times, seed {seed}");
+                assert!(most <= (rate * 1.5 + 5.0) as usize, "{case}: {most} requests");
+                let after = fleet.used(secs(16), secs(20));
+                assert!(after >= 0.9 * excess, "{case}: {after:.1} times the rate afterwards");
+                println!("{case}: {most} in a second, used {:.2}", fleet.used(secs(8), secs(14)));
+                if count == 8 {
+                    assert!(fleet.used(secs(8), secs(14)) >= 0.6, "{case}");
+                }
+            }
+        }
+    }
+}
--- a/crates/policy/src/notice/mod.rs
+++ b/crates/policy/src/notice/mod.rs
@@ -7,6 +7,7 @@
 mod statement;
 #[cfg(test)]
 mod tests;
+mod warmup;
 
 pub use gate::Gate;
 pub use gate::GateChange;
@@ -19,3 +20,5 @@
 pub use statement::Notice;
 pub use statement::StatedLimit;
 pub use statement::StatedLoad;
+pub use warmup::Warmup;
+pub use warmup::WarmupReport;
--- a/crates/policy/src/route/configuration.rs
+++ b/crates/policy/src/route/configuration.rs
@@ -10,6 +10,7 @@
 
 use crate::ids::ConfigVersion;
 use crate::ids::Rank;
+use crate::ids::RequestRate;
 use crate::ids::RouteName;
 use crate::ids::ServiceId;
 
@@ -78,13 +79,24 @@
     pub target: Target,
 }
 
+/// Warm-up of the searchers of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct WarmupSpec {
+    /// Usual time after its start for which a searcher warms up. What a searcher states itself holds.
+    pub duration: Duration,
+    /// Requests a second that a searcher takes from all hosts together while it warms up.
+    pub rate: RequestRate,
+}
+
 /// Configuration of a service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServiceSpec {
     /// Path of the health endpoint of its searchers.
     pub health_path: String,
     /// Maximum number of connections that each searcher accepts from all hosts together.
     pub max_connections: u32,
+    /// Bound on requests while a searcher warms up; `None` if there is none.
+    pub warmup: Option<WarmupSpec>,
 }
 
 /// Limits on the requests and connections of callers.
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -11,5 +11,6 @@
 pub use configuration::Route;
 pub use configuration::ServiceSpec;
 pub use configuration::Target;
+pub use configuration::WarmupSpec;
 pub use configuration::WeightedService;
 pub use weighted_round_robin::WeightedRoundRobin;
--- a/crates/policy/src/routing/health.rs
+++ b/crates/policy/src/routing/health.rs
@@ -51,6 +51,10 @@
 /// only one hedge per second.
 const STALL_TTL: Duration = Duration::from_secs(1);
 
+/// Time that work takes at a searcher that warms up, as a multiple of the usual time, unless the searcher
+/// states it.
+const WARMUP_SLOWNESS: f64 = 1.6;
+
 /// Maximum number of routes whose latencies are kept for a searcher. The table is cleared when it
 /// is full.
 const MAX_ROUTES: usize = 32;
@@ -74,6 +78,8 @@
     stalled_at: Option<Instant>,
     /// Load that the searcher stated last; `None` if it has stated none.
     load: Option<ObservedLoad>,
+    /// End of the searcher's warm-up.
+    warm_at: Option<Instant>,
 }
 
 impl SearcherHealth {
@@ -96,6 +102,20 @@
         self.load = Some(ObservedLoad::new(stated, own, self.load.as_ref(), now));
     }
 
+    /// Records when the searcher has warmed up, or that it does not warm up.
+    pub fn record_warmup(&mut self, warm_at: Option<Instant>) {
+        self.warm_at = warm_at;
+    }
+
+    /// Returns how long work takes at the searcher, as a multiple of the usual time.
+    fn slowness(&self, now: Instant) -> f64 {
+        let stated = self.load(now).map_or(1.0, |load| load.slowness(now));
+        match self.warm_at.is_some_and(|at| now < at) && stated == 1.0 {
+            true => WARMUP_SLOWNESS,
+            false => stated,
+        }
+    }
+
     /// Returns the load that the searcher stated lately.
     fn load(&self, now: Instant) -> Option<&ObservedLoad> {
         self.load.as_ref().filter(|load| load.is_current(now))
@@ -116,10 +136,8 @@
         if self.latencies.len() >= MAX_ROUTES && !self.latencies.contains_key(route) {
             self.latencies.clear();
         }
-        let latency = match self.load(now) {
-            Some(load) => latency.div_f64(load.slowness(now)),
-            None => latency,
-        };
+        let slowness = self.slowness(now);
+        let latency = if slowness == 1.0 { latency } else { latency.div_f64(slowness) };
         self.latencies
             .entry(route.clone())
             .and_modify(|estimate| estimate.record(latency, now))
@@ -281,7 +299,7 @@
 
     /// Returns the expected latency of an attempt on an idle searcher, in seconds.
     fn unloaded_latency(&self, view: &ReplicaView<'_>, now: Instant) -> f64 {
-        let slowness = self.load(now).map_or(1.0, |load| load.slowness(now));
+        let slowness = self.slowness(now);
         let prior = view.prior * slowness;
         let Some(estimate) = self.latencies.get(view.route) else {
             return prior;
--- a/crates/policy/src/routing/load/tests.rs
+++ b/crates/policy/src/routing/load/tests.rs
@@ -366,3 +366,23 @@
     let later = now + 1_000 * MS;
     assert!(is_hedge_useful(queue(&busy, later), queue(&equal, later)));
 }
+
+/// Guards against a searcher that costs as much while it warms up as afterwards, and against latencies of
+/// the warm-up that count after its end.
+#[test]
+fn a_searcher_that_warms_up_is_expected_to_be_slower_until_it_has() {
+    let now = Instant::now();
+    let route = "sweep".into();
+    let mut warming = answered(None, WORK, now);
+    warming.record_warmup(Some(now + 2_000 * MS));
+    let latency = |health: &SearcherHealth, age: u32| {
+        health.expected_latency(&view(&route), now + age * MS) / WORK.as_secs_f64()
+    };
+    assert!((latency(&warming, 0) - 1.6).abs() < 1e-6);
+    warming.record_answer(&route, WORK.mul_f64(1.6), now + MS);
+    assert!((latency(&warming, 1_999) - 1.6).abs() < 1e-6);
+    assert!((latency(&warming, 2_000) - 1.0).abs() < 1e-6);
+    let slow = StatedLoad { slowness: 2.0, after_run: false, ..stated(0, 0) };
+    warming.record_load(slow, now + 2 * MS);
+    assert!(latency(&warming, 10) < 2.2);
+}
