--- a/crates/edge/src/searchers/searcher.rs
+++ b/crates/edge/src/searchers/searcher.rs
@@ -13,6 +13,7 @@
 use galenaloft_policy::directory::SearcherState;
 use galenaloft_policy::notice::Gate;
 use galenaloft_policy::route::Route;
+use galenaloft_policy::routing::ExpectedQueue;
 use galenaloft_policy::routing::ReplicaView;
 use galenaloft_policy::routing::SearcherHealth;
 use galenaloft_runtime::sync::lock;
@@ -62,6 +63,8 @@
     pub health: Mutex<SearcherHealth>,
     /// What it states about the requests that it takes from this host.
     pub gate: Mutex<Gate>,
+    /// Time to warm up in the newest entry that was listed.
+    pub(super) listed_warmup: Mutex<Duration>,
     /// Whether a probe is running.
     probe_running: AtomicBool,
     pool: Mutex<Pool>,
@@ -79,6 +82,7 @@
             evacuated,
             health: Mutex::default(),
             gate: Mutex::default(),
+            listed_warmup: Mutex::default(),
             probe_running: AtomicBool::new(false),
             pool: Mutex::default(),
         }
@@ -132,9 +136,16 @@
     }
 
     /// Returns the expected cost of one more attempt; lower is better. `prior` is the expected
-    /// latency, in seconds, without observations.
+    /// latency, in seconds, without observations. If the searcher states its load, the cost varies at
+    /// random with what is unknown of it.
     pub fn cost(&self, route: &Route, prior: f64, now: Instant) -> f64 {
-        lock(&self.health).cost(&self.replica_view(route, prior), now)
+        lock(&self.health).drawn_cost(&self.replica_view(route, prior), rand::random(), now)
+    }
+
+    /// Returns what delays requests at the searcher, or `None` if it has stated no load lately.
+    /// `prior` is as for [`Self::cost`].
+    pub fn queue(&self, route: &Route, prior: f64, now: Instant) -> Option<ExpectedQueue> {
+        lock(&self.health).queue(&self.replica_view(route, prior), now)
     }
 
     /// Returns the expected latency of one more attempt, in seconds. `prior` is what is expected
