--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -15,6 +15,7 @@
 use galenaloft_http::Limits;
 use galenaloft_policy::directory::Change;
 use galenaloft_policy::directory::RevisionedChange;
+use galenaloft_policy::evacuation::Evacuations;
 use galenaloft_policy::ids::Capacity;
 use galenaloft_policy::ids::ConfigVersion;
 use galenaloft_policy::ids::RouteName;
@@ -92,6 +93,8 @@
     pub known_searchers: Mutex<Option<KnownSearchers>>,
     /// Requests during which searchers crashed.
     pub quarantine: Mutex<Quarantine>,
+    /// Evacuated zones; none while the setting is off.
+    pub(crate) evacuations: Mutex<Evacuations>,
     /// Counters and latency histograms.
     pub metrics: Metrics,
     /// Current configuration; `None` until one is read.
@@ -122,6 +125,10 @@
 impl Host {
     /// Creates the state of a host that has no configuration and knows no searchers or peers.
     pub fn new(settings: EdgeSettings, incarnation: u64) -> Self {
+        let metrics = Metrics::default();
+        if settings.evacuation {
+            metrics.evacuated_zones(0);
+        }
         Self {
             peers: Peers::new(&settings, incarnation),
             relays: Relays::default(),
@@ -129,7 +136,8 @@
             fleet: Fleet::new(settings.zone.clone()),
             settings,
             quarantine: Mutex::default(),
-            metrics: Metrics::default(),
+            evacuations: Mutex::default(),
+            metrics,
             config: Mutex::new(None),
             // Sizes are in bytes. A configuration replaces `head`, `body` and `idle_timeout`.
             limits: watch::channel(Limits {
@@ -175,6 +183,7 @@
             // includes the time for that head.
             limits.idle_timeout = config.limits.idle_timeout + config.limits.head_timeout;
         });
+        self.fleet.set_warmup_rates(&config.services, now());
         *current = Some(Arc::new(config));
         true
     }
@@ -285,7 +294,14 @@
 
     /// Takes over what a searcher states about itself in a reply.
     pub fn record_notice(&self, searcher: &Arc<Searcher>, reply: &Response<Bytes>, now: Instant) {
-        let (notice, invalid) = searcher::notice(reply);
+        let (notice, mut invalid) = searcher::notice(reply);
+        if self.fleet.bounds_warmup(&searcher.entry.service) {
+            match searcher::warmup_left(reply) {
+                Ok(Some(left)) => self.fleet.record_warmup(searcher, left, now),
+                Ok(None) => {}
+                Err(header) => invalid.push(header),
+            }
+        }
         for header in invalid {
             let value = reply.headers().get(&header);
             Event::new("searcher_notice_invalid")
@@ -321,6 +337,7 @@
             leaving: runs.filter(|run| self.fleet.is_leaving(run)).collect(),
             config: self.config().map(|config| (*config).clone()),
             searchers: known.searchers,
+            evacuations: self.evacuations(),
             revision: known.revision,
             age: now().saturating_duration_since(known.as_of),
         })
--- a/crates/edge/src/searchers/searcher.rs
+++ b/crates/edge/src/searchers/searcher.rs
@@ -13,6 +13,7 @@
 use galenaloft_policy::directory::SearcherState;
 use galenaloft_policy::notice::Gate;
 use galenaloft_policy::route::Route;
+use galenaloft_policy::routing::ExpectedQueue;
 use galenaloft_policy::routing::ReplicaView;
 use galenaloft_policy::routing::SearcherHealth;
 use galenaloft_runtime::sync::lock;
@@ -56,25 +57,32 @@
     /// Whether it is in the availability zone of this host.
     pub local: bool,
     draining: AtomicBool,
+    /// Whether its zone is evacuated; shared by all searchers of the zone.
+    evacuated: Arc<AtomicBool>,
     /// Health as observed by this host.
     pub health: Mutex<SearcherHealth>,
     /// What it states about the requests that it takes from this host.
     pub gate: Mutex<Gate>,
+    /// Time to warm up in the newest entry that was listed.
+    pub(super) listed_warmup: Mutex<Duration>,
     /// Whether a probe is running.
     probe_running: AtomicBool,
     pool: Mutex<Pool>,
 }
 
 impl Searcher {
-    /// Creates a searcher without observations or connections.
-    pub fn new(entry: SearcherEntry, local: bool) -> Self {
+    /// Creates a searcher without observations or connections. `evacuated` states whether its zone is
+    /// evacuated.
+    pub fn new(entry: SearcherEntry, local: bool, evacuated: Arc<AtomicBool>) -> Self {
         let draining = AtomicBool::new(entry.state == SearcherState::Draining);
         Self {
             entry,
             local,
             draining,
+            evacuated,
             health: Mutex::default(),
             gate: Mutex::default(),
+            listed_warmup: Mutex::default(),
             probe_running: AtomicBool::new(false),
             pool: Mutex::default(),
         }
@@ -96,9 +104,19 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Returns whether nothing new may be sent to it because its zone is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.evacuated.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether requests may be sent to it if it can be reached.
+    pub fn is_permitted(&self) -> bool {
+        !self.is_draining() && !self.is_evacuated()
+    }
+
     /// Returns whether requests may be sent to it.
     pub fn is_usable(&self) -> bool {
-        !self.is_draining() && !lock(&self.health).is_unreachable()
+        self.is_permitted() && !lock(&self.health).is_unreachable()
     }
 
     /// Returns when the next request may be sent to it according to its own statements, or `None` if
@@ -118,9 +136,16 @@
     }
 
     /// Returns the expected cost of one more attempt; lower is better. `prior` is the expected
-    /// latency, in seconds, without observations.
+    /// latency, in seconds, without observations. If the searcher states its load, the cost varies at
+    /// random with what is unknown of it.
     pub fn cost(&self, route: &Route, prior: f64, now: Instant) -> f64 {
-        lock(&self.health).cost(&self.replica_view(route, prior), now)
+        lock(&self.health).drawn_cost(&self.replica_view(route, prior), rand::random(), now)
+    }
+
+    /// Returns what delays requests at the searcher, or `None` if it has stated no load lately.
+    /// `prior` is as for [`Self::cost`].
+    pub fn queue(&self, route: &Route, prior: f64, now: Instant) -> Option<ExpectedQueue> {
+        lock(&self.health).queue(&self.replica_view(route, prior), now)
     }
 
     /// Returns the expected latency of one more attempt, in seconds. `prior` is what is expected
--- a/crates/edge/src/searchers/service.rs
+++ b/crates/edge/src/searchers/service.rs
@@ -123,6 +123,12 @@
         healthy.map(|searcher| searcher.entry.zone.clone()).collect()
     }
 
+    /// Returns whether some searcher is neither leaving nor in an evacuated zone. Other hosts may reach
+    /// one that this host does not.
+    pub fn has_permitted_searcher(&self) -> bool {
+        lock(&self.searchers).iter().any(|searcher| searcher.is_permitted())
+    }
+
     /// Returns whether some searcher in this host's zone is usable.
     pub fn has_local_searcher(&self) -> bool {
         lock(&self.searchers).iter().any(|searcher| searcher.local && searcher.is_usable())
@@ -132,16 +138,14 @@
     /// requests only up to a limit.
     pub fn record_demand(&self, route: &Route, prior: f64, now: Instant) {
         let searchers = lock(&self.searchers);
-        if searchers.iter().all(|searcher| lock(&searcher.gate).limit().is_none()) {
+        if searchers.iter().all(|searcher| !lock(&searcher.gate).is_limited(now)) {
             return;
         }
         let usable = searchers.iter().filter(|searcher| searcher.is_usable());
         let costs = usable.map(|searcher| (searcher.cost(route, prior, now), searcher));
         let preferred = costs.min_by(|a, b| a.0.total_cmp(&b.0));
-        if let Some((_, searcher)) = preferred
-            && let Some(limit) = lock(&searcher.gate).shared_limit()
-        {
-            limit.record_demand(now);
+        if let Some((_, searcher)) = preferred {
+            lock(&searcher.gate).record_demand(now);
         }
     }
 
@@ -165,8 +169,8 @@
             if !searcher.is_usable() || !candidates.contains(searcher) {
                 continue;
             }
-            let has_room = searcher.has_free_connection(share.limit(searcher.local))
-                && bound.allows(searcher);
+            let has_room =
+                searcher.has_free_connection(share.limit(searcher.local)) && bound.allows(searcher);
             if !has_room {
                 any_at_limit = true;
                 continue;
--- a/crates/policy/src/routing/outstanding/tests.rs
+++ b/crates/policy/src/routing/outstanding/tests.rs
@@ -48,9 +48,7 @@
 fn queries_of_one_rank_have_the_same_order_at_every_shard() {
     let now = Instant::now();
     let mut ids = ["q1", "q2", "q3", "q4"];
-    ids.sort_by(|a, b| {
-        Draw::from_request_id(a).partial_cmp(&Draw::from_request_id(b)).unwrap()
-    });
+    ids.sort_by(|a, b| Draw::from_request_id(a).partial_cmp(&Draw::from_request_id(b)).unwrap());
     for pair in ids.windows(2) {
         // The one that is due later goes first, if its draw says so.
         let (first, second) =
