Admit requests by their cost while searchers cannot serve all

A controller on each host that queries searchers learns from the outcomes of parts how much work they take, and distributes it over the classes of work. Aggregators report the admitted shares in their replies, and coordinators refuse whole queries before they send a part. Single requests pass through the same controller. Enabled by `admission: by-cost`.

--- a/bin/galenaloft-edge/tests/edge/hosts.rs
+++ b/bin/galenaloft-edge/tests/edge/hosts.rs
@@ -36,12 +36,24 @@
     /// Starts the host with number `host` in `zone`, on a loopback address of its own. `port` is
     /// the first of its ports; hosts of one cluster have the same.
     pub fn start(platform: &Scene, zone: &str, host: u8, port: u16) -> Self {
+        Self::start_with(platform, zone, host, port, "")
+    }
+
+    /// Starts a host with further lines of settings.
+    pub fn start_with(
+        platform: &Scene,
+        zone: &str,
+        host: u8,
+        port: u16,
+        more: &'static str,
+    ) -> Self {
         let spec = edge::Spec {
             binary: env!("CARGO_BIN_EXE_galenaloft-edge").into(),
             zone: zone.to_owned(),
             number: host,
             port,
             store: platform.store_address,
+            more,
             log: None,
         };
         let process = edge::Edge::start(&spec).unwrap();
--- a/bin/galenaloft-edge/tests/edge/main.rs
+++ b/bin/galenaloft-edge/tests/edge/main.rs
@@ -1,5 +1,6 @@
 //! Tests of real edge hosts, run as processes against a stand-in for the platform.
 
+mod admission;
 mod changes;
 mod hosts;
 mod notices;
--- a/crates/config/src/edge/mod.rs
+++ b/crates/config/src/edge/mod.rs
@@ -4,5 +4,6 @@
 #[cfg(test)]
 mod tests;
 
+pub use model::EdgeAdmission;
 pub use model::EdgeListen;
 pub use model::EdgeSettings;
--- a/crates/config/src/edge/model.rs
+++ b/crates/config/src/edge/model.rs
@@ -39,6 +39,15 @@
     pub metrics: SocketAddr,
 }
 
+/// Which requests an edge host sends to searchers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EdgeAdmission {
+    /// All of them.
+    All,
+    /// While capacity is insufficient, those whose refusal would cost callers most.
+    ByCost,
+}
+
 /// Settings of an edge host.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EdgeSettings {
@@ -60,6 +69,8 @@
     pub grace: Duration,
     /// What an answer needs to reach its caller on an open connection, and the request before it.
     pub caller_round_trip: Duration,
+    /// Which requests are sent to searchers.
+    pub admission: EdgeAdmission,
 }
 
 impl EdgeSettings {
@@ -95,6 +106,7 @@
                 Some(field) => field.units(MILLISECOND, 0.0..=MAX_MILLISECONDS)?,
                 None => Duration::from_millis(6),
             },
+            admission: read_admission(top.optional("admission"))?,
         };
         top.finish()?;
         Ok(settings)
@@ -128,6 +140,13 @@
     Ok(cores)
 }
 
+fn read_admission(field: Option<Field<'_>>) -> Result<EdgeAdmission, ConfigError> {
+    match field {
+        Some(field) => field.choice(&[("by-cost", EdgeAdmission::ByCost)]),
+        None => Ok(EdgeAdmission::All),
+    }
+}
+
 fn read_extra(field: Option<Field<'_>>) -> Result<ExtraRequestLimit, ConfigError> {
     let mut bound = ExtraRequestLimit { ratio: 0.1, slack: 10.0, window: Duration::from_secs(10) };
     let Some(field) = field else {
--- a/crates/edge/src/api.rs
+++ b/crates/edge/src/api.rs
@@ -67,6 +67,9 @@
             return Answer::Refused(QUARANTINE_RETRY_DELAY).encode(host.closes_connections());
         }
     }
+    if let (Some(_), Target::Gather(gather)) = (&host.admission, &request.route.target) {
+        request.index = query::index_name(gather);
+    }
     let request = Arc::new(request);
     let answer = match &request.route.target {
         Target::Gather(gather) => query::scatter_gather(&host, &request, gather).await,
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -11,8 +11,10 @@
 
 use bytes::Bytes;
 use galenaloft_adapter::searcher;
+use galenaloft_config::edge::EdgeAdmission;
 use galenaloft_config::edge::EdgeSettings;
 use galenaloft_http::Limits;
+use galenaloft_policy::admission::by_cost::HostAdmission;
 use galenaloft_policy::directory::Change;
 use galenaloft_policy::directory::RevisionedChange;
 use galenaloft_policy::ids::Capacity;
@@ -92,6 +94,8 @@
     pub known_searchers: Mutex<Option<KnownSearchers>>,
     /// Requests during which searchers crashed.
     pub quarantine: Mutex<Quarantine>,
+    /// Admission of requests while capacity is insufficient; `None` if all are admitted.
+    pub admission: Option<Mutex<HostAdmission>>,
     /// Counters and latency histograms.
     pub metrics: Metrics,
     /// Current configuration; `None` until one is read.
@@ -127,6 +131,10 @@
             relays: Relays::default(),
             known_searchers: Mutex::default(),
             fleet: Fleet::new(settings.zone.clone()),
+            admission: match settings.admission {
+                EdgeAdmission::All => None,
+                EdgeAdmission::ByCost => Some(Mutex::default()),
+            },
             settings,
             quarantine: Mutex::default(),
             metrics: Metrics::default(),
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use galenaloft_policy::admission::by_cost::Lane;
+use galenaloft_policy::admission::by_cost::RouteShares;
 use galenaloft_policy::directory::Change;
 use galenaloft_policy::directory::RevisionedChange;
 use galenaloft_policy::directory::SearcherEntry;
@@ -162,6 +164,19 @@
     pub answer_within: Duration,
     /// Time until the deadline, after which no reply is of use.
     pub time_left: Duration,
+    /// How the query was admitted; `None` if the coordinator admits all queries.
+    pub admission: Option<GroupAdmission>,
+}
+
+/// How a coordinator admitted a query.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct GroupAdmission {
+    /// Searchers of the index, named by the least of its shards.
+    pub searchers: ServiceId,
+    /// Whether the coordinator expects the answer in time.
+    pub lane: Lane,
+    /// Share of such queries that the coordinator admits.
+    pub share: f64,
 }
 
 /// One shard of a group.
@@ -173,9 +188,27 @@
     pub allowed: Vec<SearcherId>,
 }
 
-/// The merged answers of a group of shards.
+/// Reply of an aggregator to a query over a group of shards.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct GroupReply {
+    /// What became of the query.
+    pub result: GroupResult,
+    /// Admitted shares of the routes over the same searchers; a route without one is all admitted.
+    pub shares: Vec<RouteShares>,
+}
+
+/// What became of a query over a group of shards.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum GroupResult {
+    /// Some of the shards may have answered.
+    Merged(MergedParts),
+    /// The query was not admitted; no searcher has received it.
+    NotAdmitted,
+}
+
+/// The merged answers of a group of shards.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MergedParts {
     /// For each shard that answered, its index in `GroupQuery::shards` and its searcher's
     /// signature.
     pub parts: Vec<(u32, Vec<u8>)>,
@@ -184,6 +217,8 @@
     /// For each shard without an answer, its index in `GroupQuery::shards` and the searchers that it
     /// was sent to: none if it was left out.
     pub missing: Vec<(u32, Vec<SearcherId>)>,
+    /// Whether a searcher may have run the request.
+    pub may_have_run: bool,
 }
 
 #[cfg(test)]
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -27,6 +27,7 @@
 use crate::peers::Aggregator;
 use crate::peers::GroupQuery;
 use crate::peers::GroupReply;
+use crate::peers::GroupResult;
 use crate::peers::StoreView;
 use crate::peers::service::EdgePeerClient;
 
@@ -124,7 +125,10 @@
             Ok(Ok(Some(reply))) => {
                 let latency = ended_at.saturating_duration_since(started_at);
                 lock(&self.last_answers).insert(aggregator.host.clone(), ended_at);
-                health.record_answer(&route.name, latency, ended_at);
+                // A refusal takes no time at the searchers, so it says nothing about latency.
+                if let GroupResult::Merged(_) = reply.result {
+                    health.record_answer(&route.name, latency, ended_at);
+                }
                 Ok(reply)
             }
             Ok(Ok(None)) => Err(GroupFailure::NotRun("the peer cannot handle the query")),
--- a/crates/edge/src/query/attempt.rs
+++ b/crates/edge/src/query/attempt.rs
@@ -9,6 +9,7 @@
 use galenaloft_adapter::searcher::Refusal;
 use galenaloft_adapter::searcher::SearcherAnswer;
 use galenaloft_adapter::searcher::SearcherReply;
+use galenaloft_policy::admission::by_cost::PartOutcome;
 use galenaloft_policy::route::Target;
 use galenaloft_policy::verdict::Verdict;
 use galenaloft_runtime::clock::now;
@@ -18,6 +19,7 @@
 
 use crate::host::Host;
 use crate::query::RoutedRequest;
+use crate::query::admission;
 use crate::query::crash_check;
 use crate::searchers::Lease;
 
@@ -147,7 +149,17 @@
             Ok(answer)
         }
         SearcherReply::NotRun(Refusal::Busy) => {
-            lock(&searcher.health).record_busy(received_at);
+            let mut health = lock(&searcher.health);
+            health.record_busy(received_at);
+            // Queries that can no longer reach their floor cancel their other parts, so that an
+            // overloaded searcher has many cancelled requests and few answers.
+            if host.admission.is_some() {
+                health.record_responding();
+            }
+            drop(health);
+            let (service, started_at) = (&searcher.entry.service, lease.started_at);
+            let outcome = PartOutcome::Rejected;
+            admission::record_outcome(&host, request, service, outcome, started_at, received_at);
             lease.return_connection(idle_timeout);
             failure(Verdict::NotRun, "searcher_busy")
         }
--- a/crates/edge/src/query/gather.rs
+++ b/crates/edge/src/query/gather.rs
@@ -29,9 +29,15 @@
 use galenaloft_telemetry::log::Event;
 
 use crate::host::Host;
+use crate::peers::Aggregator;
+use crate::peers::GroupAdmission;
 use crate::peers::GroupFailure;
 use crate::peers::GroupReply;
+use crate::peers::GroupResult;
+use crate::peers::MergedParts;
 use crate::query::RoutedRequest;
+use crate::query::admission;
+use crate::query::admission::Decision;
 use crate::query::attempt;
 use crate::query::group;
 use crate::query::group::ShardGroup;
@@ -47,6 +53,14 @@
 /// divided by this.
 const RESERVE_DIVISOR: usize = 30;
 
+/// Longest wait for the replies of other aggregators after one did not admit a query. If none of them
+/// did, the request has not run. A refusal takes one round trip between zones and some milliseconds
+/// on a host with little processor capacity.
+const REFUSAL_WAIT: Duration = Duration::from_millis(20);
+
+/// Time for which an aggregator that answered counts as working while capacity is insufficient.
+const WORKING_WINDOW: Duration = Duration::from_secs(2);
+
 /// Result of one task of a query.
 enum TaskResult {
     /// Result of one shard that was queried directly. A searcher may have run the request even if
@@ -111,6 +125,16 @@
     /// For each shard the searchers that this host sent it to.
     tried: BTreeMap<usize, Tried>,
     may_have_run: bool,
+    /// How the query was admitted; `None` if all queries are.
+    admission: Option<GroupAdmission>,
+    /// Whether only a share of such queries is admitted, as far as this host knows.
+    limited: bool,
+    /// Aggregators that did not admit the query.
+    refused_by: Vec<Aggregator>,
+    /// Number of aggregators that have not replied.
+    groups_in_flight: usize,
+    /// For each shard, whether a direct query to it has not ended.
+    direct_in_flight: Vec<bool>,
 }
 
 impl<'a> ScatterGather<'a> {
@@ -121,8 +145,14 @@
         request: &'a Arc<RoutedRequest>,
         gather: &'a Gather,
         allowed: Vec<Vec<SearcherId>>,
+        admission: Option<GroupAdmission>,
     ) -> Self {
         Self {
+            limited: admission.as_ref().is_some_and(|admission| admission.share < 1.0),
+            admission,
+            refused_by: Vec::new(),
+            groups_in_flight: 0,
+            direct_in_flight: vec![false; gather.shards.len()],
             host,
             request,
             gather,
@@ -290,7 +320,8 @@
 
     /// Ends a query on behalf of another host, for which all parts were received directly. Returns
     /// the merged reply.
-    pub fn finish_group(mut self) -> GroupReply {
+    pub fn finish_group(mut self) -> MergedParts {
+        let may_have_run = self.may_have_run();
         self.finish_pending_in_background();
         let mut records = TopRecords::new(self.gather.top_records);
         let is_missing = |index: &usize| !self.direct_parts.contains_key(index);
@@ -304,12 +335,35 @@
             records.add(&answer.body);
             parts.push((index as u32, answer.signature.as_bytes().to_vec()));
         }
-        GroupReply { parts, records: records.finish(), missing }
+        MergedParts { parts, records: records.finish(), missing, may_have_run }
     }
 
     /// Returns whether a searcher may have run the request.
     pub fn may_have_run(&self) -> bool {
-        self.may_have_run || !self.tasks.is_empty()
+        if self.may_have_run || self.host.admission.is_none() {
+            return self.may_have_run || !self.tasks.is_empty();
+        }
+        let was_sent = |index: &usize| {
+            self.direct_in_flight[*index]
+                && self.tried.get(index).is_some_and(|tried| !lock(tried).is_empty())
+        };
+        self.groups_in_flight > 0 || (0..self.gather.shards.len()).any(|index| was_sent(&index))
+    }
+
+    /// Waits a short time for the other aggregators of a query that one of them did not admit, since
+    /// they are likely not to admit it either. Returns those that did not if no searcher may have
+    /// run the request.
+    pub async fn refusals(&mut self) -> Option<&[Aggregator]> {
+        let until = now() + REFUSAL_WAIT;
+        while !self.refused_by.is_empty() && self.groups_in_flight > 0 && !self.may_have_run {
+            tokio::select! {
+                biased;
+                Some(result) = self.tasks.next() => self.handle_result(result),
+                () = sleep_until(until) => break,
+            }
+        }
+        let refused = !self.refused_by.is_empty() && !self.may_have_run();
+        refused.then_some(&self.refused_by)
     }
 
     /// Moves the pending tasks to the background, and records the aggregators that are overdue.
@@ -342,6 +396,7 @@
             return;
         }
         self.tried.insert(index, query.tried());
+        self.direct_in_flight[index] = true;
         self.pending_shards += 1;
         self.tasks.push(Box::pin(async move {
             let part = query.run(is_success).await;
@@ -363,8 +418,11 @@
             group.clone(),
             group.overdue_at(self.host, &self.request.route, objective, now),
         ));
+        self.groups_in_flight += 1;
+        let (request, allowed) = (self.request, &self.allowed);
+        let admission = self.admission.clone();
         let query =
-            group.query(self.request, self.gather, &self.allowed, min_parts, objective, now);
+            group.query(request, self.gather, allowed, min_parts, admission, objective, now);
         let (host, request) = (self.host.clone(), self.request.clone());
         self.tasks.push(Box::pin(async move {
             let reply = host.relays.gather(&group.aggregator, &request.route, query).await;
@@ -377,6 +435,7 @@
         match result {
             TaskResult::Shard { index, part, may_have_run } => {
                 self.pending_shards -= 1;
+                self.direct_in_flight[index] = false;
                 self.may_have_run |= may_have_run;
                 match part {
                     Ok(answer) if is_success(&answer) => {
@@ -393,11 +452,27 @@
             }
             TaskResult::Group { group, reply } => {
                 self.pending_shards -= group.shards.len();
-                self.may_have_run = true;
+                self.groups_in_flight -= 1;
+                self.may_have_run |= match &reply {
+                    Ok(GroupReply { result: GroupResult::Merged(parts), .. }) => {
+                        parts.may_have_run || self.host.admission.is_none()
+                    }
+                    Ok(GroupReply { result: GroupResult::NotAdmitted, .. }) => false,
+                    Err(GroupFailure::NotRun(_)) => self.host.admission.is_none(),
+                    Err(GroupFailure::MayHaveRun(_)) => true,
+                };
                 let position = self.pending_groups.iter().position(|(other, _)| *other == group);
                 let was_pending = position.map(|i| self.pending_groups.swap_remove(i)).is_some();
                 match reply {
-                    Ok(reply) => self.add_group_reply(&group, reply),
+                    Ok(GroupReply { result, shares }) => {
+                        self.limited |= !shares.is_empty();
+                        let (host, aggregator) = (self.host, &group.aggregator);
+                        admission::record_report(host, self.request, aggregator, shares, now());
+                        match result {
+                            GroupResult::Merged(parts) => self.add_group_parts(&group, parts),
+                            GroupResult::NotAdmitted => self.refused_by.push(group.aggregator),
+                        }
+                    }
                     Err(failure) if was_pending => self.bypass_aggregator(&group, failure),
                     Err(_) => {}
                 }
@@ -407,7 +482,7 @@
 
     /// Adds the parts of an aggregator's reply, and marks the shards without a part as skipped. A
     /// reply with an invalid position or signature is dropped whole.
-    fn add_group_reply(&mut self, group: &ShardGroup, reply: GroupReply) {
+    fn add_group_parts(&mut self, group: &ShardGroup, reply: MergedParts) {
         let index_of = |position: u32| group.shards.get(position as usize).copied();
         let decode = |(position, signature): (u32, Vec<u8>)| {
             Some((index_of(position)?, Signature::from_bytes(&signature).ok()?))
@@ -441,6 +516,16 @@
                 self.pending_groups.push((group, overdue_at));
                 continue;
             }
+            // Its searchers are overloaded. Asking them again would make that worse.
+            if self.limited
+                && self
+                    .host
+                    .relays
+                    .answered_since(&group.aggregator, now.checked_sub(WORKING_WINDOW))
+            {
+                self.pending_groups.push((group, self.request.deadline));
+                continue;
+            }
             self.host.relays.record_overdue(&group.aggregator, now);
             self.bypass_aggregator(&group, GroupFailure::MayHaveRun("the peer is overdue"));
         }
@@ -449,6 +534,9 @@
     /// Queries the skipped shards, since the coverage floor cannot be met without them.
     fn query_skipped(&mut self) {
         for SkippedShard { index, earlier } in std::mem::take(&mut self.skipped) {
+            if self.limited && earlier != EarlierAttempts::None {
+                continue;
+            }
             self.query_shard(index, earlier);
         }
     }
@@ -501,9 +589,13 @@
             .info();
         return Answer::Refused(until - started_at);
     }
+    let admission = match admission::admit_query(host, request, &groups, direct.len(), started_at) {
+        Decision::Admitted(admission) => admission,
+        Decision::Refused(after) => return Answer::Refused(after),
+    };
     let wait_policy = new_wait_policy(host, request, direct.len(), groups.len());
     let all_listed = vec![Vec::new(); gather.shards.len()];
-    let mut query = ScatterGather::new(host, request, gather, all_listed);
+    let mut query = ScatterGather::new(host, request, gather, all_listed, admission);
     query.query_with_groups(groups, &direct, min_parts, wait_policy.objective());
     let expired = query.collect(&wait_policy, min_parts).await;
     let parts = query.received_parts();
@@ -512,6 +604,12 @@
         let missing = gather.shards.len() - signatures.len();
         return Answer::Gathered { signatures, missing, records };
     }
+    let refused_by = query.refusals().await.map(<[Aggregator]>::to_vec);
+    if let Some(aggregators) = refused_by
+        && let Some(after) = admission::retry_after_group(host, request, &aggregators, now())
+    {
+        return Answer::Refused(after);
+    }
     match (query.may_have_run(), expired) {
         (false, _) => Answer::Refused(CALLER_RETRY_DELAY),
         (true, true) => Answer::TimedOut,
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -27,10 +27,13 @@
 
 use crate::host::Host;
 use crate::peers::Aggregator;
+use crate::peers::GroupAdmission;
 use crate::peers::GroupQuery;
 use crate::peers::GroupReply;
+use crate::peers::GroupResult;
 use crate::peers::GroupShard;
 use crate::query::RoutedRequest;
+use crate::query::admission;
 use crate::query::gather::ScatterGather;
 
 /// Time reserved for an aggregator's reply: 3 ms for the round trip between zones and 1.5 ms to
@@ -216,6 +219,7 @@
         gather: &Gather,
         allowed: &[Vec<SearcherId>],
         min_parts: usize,
+        admission: Option<GroupAdmission>,
         objective: Instant,
         now: Instant,
     ) -> GroupQuery {
@@ -242,6 +246,7 @@
             top_records: gather.top_records,
             answer_within: answer_within(objective.saturating_duration_since(now)),
             time_left: request.deadline.saturating_duration_since(now),
+            admission,
         }
     }
 }
@@ -278,16 +283,31 @@
         max_attempts: query.max_attempts,
         target: Target::Gather(gather.clone()),
     };
-    let request =
-        Arc::new(RoutedRequest::new(inbound, Arc::new(route), host.config()?, arrived_at));
+    let mut request = RoutedRequest::new(inbound, Arc::new(route), host.config()?, arrived_at);
+    request.index = query.admission.as_ref().map(|admission| admission.searchers.clone());
+    if let Some(group) = &query.admission
+        && !admission::accepts_group(host, &request, group, gather.shards.len(), arrived_at)
+    {
+        let shares = admission::report(host, request.index.as_ref(), arrived_at);
+        return Some(GroupReply { result: GroupResult::NotAdmitted, shares });
+    }
+    let request = Arc::new(request);
     request.record_demand(host, &gather.shards, arrived_at);
     let overhead = answer_processing_time(host.capacity(), gather.shards.len(), 0);
     let wait_policy = WaitPolicy::new(arrived_at, query.answer_within, overhead, request.deadline);
-    let mut scatter_gather = ScatterGather::new(host, &request, &gather, allowed);
+    let mut scatter_gather = ScatterGather::new(host, &request, &gather, allowed, None);
     scatter_gather.query_directly(query.min_parts, wait_policy.objective());
     // The requesting host can use any parts that arrive in time, since it also queries other
     // shards. With less than half of this group it is assumed to miss its coverage floor, so
     // waiting for more is worthwhile.
-    scatter_gather.collect(&wait_policy, gather.shards.len().div_ceil(2)).await;
-    Some(scatter_gather.finish_group())
+    let half = gather.shards.len().div_ceil(2);
+    // While capacity is insufficient, missing shards are not asked again, so that parts below the
+    // floor are of no use.
+    let floor = match admission::report(host, request.index.as_ref(), arrived_at).is_empty() {
+        true => half,
+        false => half.max(query.min_parts),
+    };
+    scatter_gather.collect(&wait_policy, floor).await;
+    let shares = admission::report(host, request.index.as_ref(), now());
+    Some(GroupReply { result: GroupResult::Merged(scatter_gather.finish_group()), shares })
 }
--- a/crates/edge/src/query/mod.rs
+++ b/crates/edge/src/query/mod.rs
@@ -1,5 +1,6 @@
 //! Requests to searchers: to one searcher of a service, or to one searcher of each shard.
 
+mod admission;
 mod attempt;
 mod crash_check;
 mod gather;
@@ -8,6 +9,7 @@
 mod service;
 mod shard;
 
+pub use admission::index_name;
 pub use gather::scatter_gather;
 pub use group::answer_group;
 pub use routed_request::RoutedRequest;
--- a/crates/edge/src/query/routed_request.rs
+++ b/crates/edge/src/query/routed_request.rs
@@ -28,6 +28,9 @@
     /// Whether a searcher crashed while it ran the request. Such a request is sent to one searcher
     /// at a time.
     pub crash_suspect: bool,
+    /// Searchers of the index that is queried, named by the least of its shards. `None` for a
+    /// request to one service.
+    pub index: Option<ServiceId>,
 }
 
 impl RoutedRequest {
@@ -40,7 +43,7 @@
     ) -> Self {
         let timeout = inbound.patience.unwrap_or(route.timeout).min(route.timeout);
         let deadline = arrived_at + timeout;
-        Self { inbound, route, config, arrived_at, deadline, crash_suspect: false }
+        Self { inbound, route, config, arrived_at, deadline, crash_suspect: false, index: None }
     }
 
     /// Records that the request would be sent to each of these services if their searchers had no
--- a/crates/edge/src/query/service.rs
+++ b/crates/edge/src/query/service.rs
@@ -11,6 +11,8 @@
 
 use crate::host::Host;
 use crate::query::RoutedRequest;
+use crate::query::admission;
+use crate::query::admission::Decision;
 use crate::query::shard::ShardFailure;
 use crate::query::shard::ShardQuery;
 
@@ -24,6 +26,9 @@
     request: &Arc<RoutedRequest>,
     service: &ServiceId,
 ) -> Answer {
+    if let Decision::Refused(after) = admission::admit_single(host, request, service, now()) {
+        return Answer::Refused(after);
+    }
     let finished = Arc::new(AtomicBool::new(false));
     let mut query = ShardQuery::new(host, request, service, &finished);
     request.record_demand(host, [service], now());
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -13,6 +13,7 @@
 use futures::stream::FuturesUnordered;
 use futures::stream::StreamExt;
 use galenaloft_adapter::searcher::SearcherAnswer;
+use galenaloft_policy::admission::by_cost::PartOutcome;
 use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::routing::ConnectionShare;
@@ -25,6 +26,7 @@
 
 use crate::host::Host;
 use crate::query::RoutedRequest;
+use crate::query::admission;
 use crate::query::attempt;
 use crate::query::attempt::Attempt;
 use crate::query::attempt::AttemptFailure;
@@ -93,6 +95,9 @@
     charged_as_extra: bool,
     /// Set when the caller's request has ended, so that further attempts are of no use.
     finished: Arc<AtomicBool>,
+    /// When the request began to wait for a searcher; `None` before, and once its outcome was
+    /// recorded.
+    waiting_since: Option<Instant>,
 }
 
 impl ShardQuery {
@@ -115,6 +120,7 @@
             may_have_run: false,
             charged_as_extra: false,
             finished: finished.clone(),
+            waiting_since: None,
         }
     }
 
@@ -166,6 +172,7 @@
         if !self.charged_as_extra {
             lock(&self.service.budget).record_first(&self.extra_share(), now());
         }
+        self.waiting_since = Some(now());
         // Returned if no answer is accepted: the last answer, else the first failure.
         let mut fallback: Option<Result<SearcherAnswer, ShardFailure>> = None;
         loop {
@@ -182,6 +189,7 @@
                 biased;
                 Some(result) = self.running.next() => match result {
                     Ok(answer) if accept(&answer) => {
+                        self.record_outcome(PartOutcome::Answered);
                         self.finish_in_background();
                         return Ok(answer);
                     }
@@ -190,6 +198,10 @@
                         fallback = Some(Ok(answer));
                     }
                     Err(failure) => {
+                        if self.running.is_empty() && failure.verdict != Verdict::NotRun {
+                            // The searcher failed, which is no lack of capacity.
+                            self.waiting_since = None;
+                        }
                         if failure.verdict != Verdict::NotRun {
                             self.may_have_run = true;
                             if !self.request.route.idempotent {
@@ -227,10 +239,22 @@
         lock(&self.tried).len() < max_attempts
     }
 
+    fn admits_retries(&self) -> bool {
+        admission::allows_retries(&self.host, &self.request, &self.service_id, now())
+    }
+
+    /// Records the outcome of the request for the admission of later ones, once.
+    fn record_outcome(&mut self, outcome: PartOutcome) {
+        if let Some(since) = self.waiting_since.take() {
+            let (host, service) = (&self.host, &self.service_id);
+            admission::record_outcome(host, &self.request, service, outcome, since, now());
+        }
+    }
+
     /// Starts the first attempt, or a retry after all earlier ones have failed. Waits while no
     /// searcher has a free connection, and for a short time while none takes requests.
     async fn start_attempt(&mut self, is_retry: bool) -> Result<(), ShardFailure> {
-        if is_retry && !self.has_attempts_left() {
+        if is_retry && !(self.has_attempts_left() && self.admits_retries()) {
             return Err(ShardFailure::NoSearcher);
         }
         let mut charged = false;
@@ -259,10 +283,15 @@
                     }
                     tokio::task::yield_now().await;
                 }
+                // What a searcher states that it takes is no sign of its queue.
                 Choice::Closed(opens_at) if opens_at <= self.closed_wait_end() => {
                     sleep_until(opens_at).await;
+                    self.waiting_since = Some(opens_at);
+                }
+                Choice::Closed(_) | Choice::NoSearcher => {
+                    self.waiting_since = None;
+                    return Err(ShardFailure::NoSearcher);
                 }
-                Choice::Closed(_) | Choice::NoSearcher => return Err(ShardFailure::NoSearcher),
                 Choice::AllAtLimit => {
                     let check_at = (now + CONNECTION_CHECK_INTERVAL).min(self.request.deadline);
                     tokio::select! {
@@ -281,6 +310,9 @@
             return;
         }
         let now = now();
+        if !admission::allows_hedges(&self.host, &self.request, &self.service_id, now) {
+            return;
+        }
         if !lock(&self.service.budget).allows(&self.extra_share(), RETRY_RESERVE, now) {
             return;
         }
@@ -388,3 +420,9 @@
         }
     }
 }
+
+impl Drop for ShardQuery {
+    fn drop(&mut self) {
+        self.record_outcome(PartOutcome::Abandoned);
+    }
+}
--- a/crates/policy/src/admission/draw.rs
+++ b/crates/policy/src/admission/draw.rs
@@ -25,4 +25,9 @@
     pub fn is_below(self, share: f64) -> bool {
         self.0 < share
     }
+
+    /// Returns the number.
+    pub(super) fn value(self) -> f64 {
+        self.0
+    }
 }
--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -1,5 +1,6 @@
 //! Load shedding that drops the same queries at every shard.
 
+pub mod by_cost;
 mod controller;
 mod decision;
 mod draw;
--- a/crates/policy/src/routing/health.rs
+++ b/crates/policy/src/routing/health.rs
@@ -153,6 +153,13 @@
         self.avoided_until = Some(self.avoided_until.map_or(until, |known| known.max(until)));
     }
 
+    /// Records that the searcher responds, though it runs no request. Requests that were cancelled
+    /// meanwhile do not count as unanswered.
+    pub fn record_responding(&mut self) {
+        self.unanswered = 0;
+        self.silent_since = None;
+    }
+
     /// Records that the searcher has answered a request or reported that it is healthy.
     pub fn record_recovered(&mut self) {
         self.failures = 0;
--- a/crates/telemetry/src/metrics/recorder.rs
+++ b/crates/telemetry/src/metrics/recorder.rs
@@ -45,6 +45,7 @@
     attempts: Counter<u64>,
     outcomes: Counter<u64>,
     invalid_notices: Counter<u64>,
+    refusals: Counter<u64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -72,6 +73,7 @@
             attempts: meter.u64_counter("galenaloft_attempts").build(),
             outcomes: meter.u64_counter("galenaloft_requests").build(),
             invalid_notices: meter.u64_counter("galenaloft_invalid_notices").build(),
+            refusals: meter.u64_counter("galenaloft_refusals").build(),
             registry,
             _provider: provider,
         }
@@ -118,6 +120,12 @@
         self.invalid_notices.add(1, &[]);
     }
 
+    /// Counts a request that was refused for a reason.
+    pub fn refused(&self, reason: &'static str, rank: u8) {
+        let labels = [KeyValue::new("reason", reason), KeyValue::new("rank", i64::from(rank))];
+        self.refusals.add(1, &labels);
+    }
+
     /// Returns every metric in the Prometheus text format.
     pub fn encode(&self) -> Vec<u8> {
         let mut buf = Vec::new();
--- a/tools/soak/src/edge.rs
+++ b/tools/soak/src/edge.rs
@@ -40,6 +40,8 @@
     pub port: u16,
     /// Where it finds the store.
     pub store: SocketAddr,
+    /// Further lines of its settings.
+    pub more: &'static str,
     /// File that takes its log, if it is kept.
     pub log: Option<PathBuf>,
 }
@@ -65,7 +67,7 @@
         let text = format!(
             "host: e{}\nzone: {}\nlisten:\n  callers: {}\n  readiness: {}\n  peers: {}\n  \
              metrics: {}\nstore: {}\nseeds: [\"127.0.0.1:1\", \"127.0.0.2:1\", \"127.0.0.3:1\"]\n\
-             extra-requests: {{ ratio: 0.2, slack: 54, window-seconds: 10 }}\ngrace-seconds: 6\n",
+             extra-requests: {{ ratio: 0.2, slack: 54, window-seconds: 10 }}\ngrace-seconds: 6\n{}",
             spec.number,
             spec.zone,
             at(0),
@@ -73,6 +75,7 @@
             at(2),
             at(3),
             spec.store,
+            spec.more,
         );
         fs::write(&settings, text)?;
         let output = match &spec.log {
--- a/tools/soak/src/world.rs
+++ b/tools/soak/src/world.rs
@@ -191,6 +191,7 @@
                 number: u8::try_from(index + 1).map_err(io::Error::other)?,
                 port: size.port,
                 store: to_store.address,
+                more: "",
                 log: size.logs.as_ref().map(|dir| dir.join(format!("e{}.log", index + 1))),
             };
             let edge = tokio::sync::Mutex::new(Edge::start(&spec)?);
