--- a/crates/config/src/edge/model.rs
+++ b/crates/config/src/edge/model.rs
@@ -39,6 +39,15 @@
     pub metrics: SocketAddr,
 }
 
+/// Which requests an edge host sends to searchers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EdgeAdmission {
+    /// All of them.
+    All,
+    /// While capacity is insufficient, those whose refusal would cost callers most.
+    ByCost,
+}
+
 /// Settings of an edge host.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EdgeSettings {
@@ -62,6 +71,8 @@
     pub caller_round_trip: Duration,
     /// Whether the operator can evacuate zones.
     pub evacuation: bool,
+    /// Which requests are sent to searchers.
+    pub admission: EdgeAdmission,
 }
 
 impl EdgeSettings {
@@ -98,6 +109,7 @@
                 None => Duration::from_millis(6),
             },
             evacuation: read_evacuation(top.optional("evacuation"))?,
+            admission: read_admission(top.optional("admission"))?,
         };
         top.finish()?;
         Ok(settings)
@@ -135,6 +147,13 @@
     field.map_or(Ok(false), |field| field.choice(&[("true", true), ("false", false)]))
 }
 
+fn read_admission(field: Option<Field<'_>>) -> Result<EdgeAdmission, ConfigError> {
+    match field {
+        Some(field) => field.choice(&[("by-cost", EdgeAdmission::ByCost)]),
+        None => Ok(EdgeAdmission::All),
+    }
+}
+
 fn read_extra(field: Option<Field<'_>>) -> Result<ExtraRequestLimit, ConfigError> {
     let mut bound = ExtraRequestLimit { ratio: 0.1, slack: 10.0, window: Duration::from_secs(10) };
     let Some(field) = field else {
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -11,8 +11,10 @@
 
 use bytes::Bytes;
 use galenaloft_adapter::searcher;
+use galenaloft_config::edge::EdgeAdmission;
 use galenaloft_config::edge::EdgeSettings;
 use galenaloft_http::Limits;
+use galenaloft_policy::admission::by_cost::HostAdmission;
 use galenaloft_policy::directory::Change;
 use galenaloft_policy::directory::RevisionedChange;
 use galenaloft_policy::evacuation::Evacuations;
@@ -95,6 +97,8 @@
     pub quarantine: Mutex<Quarantine>,
     /// Evacuated zones; none while the setting is off.
     pub(crate) evacuations: Mutex<Evacuations>,
+    /// Admission of requests while capacity is insufficient; `None` if all are admitted.
+    pub admission: Option<Mutex<HostAdmission>>,
     /// Counters and latency histograms.
     pub metrics: Metrics,
     /// Current configuration; `None` until one is read.
@@ -134,6 +138,10 @@
             relays: Relays::default(),
             known_searchers: Mutex::default(),
             fleet: Fleet::new(settings.zone.clone()),
+            admission: match settings.admission {
+                EdgeAdmission::All => None,
+                EdgeAdmission::ByCost => Some(Mutex::default()),
+            },
             settings,
             quarantine: Mutex::default(),
             evacuations: Mutex::default(),
--- a/crates/edge/src/query/routed_request.rs
+++ b/crates/edge/src/query/routed_request.rs
@@ -30,6 +30,9 @@
     /// Whether a searcher crashed while it ran the request. Such a request is sent to one searcher
     /// at a time.
     pub crash_suspect: bool,
+    /// Searchers of the index that is queried, named by the least of its shards. `None` for a
+    /// request to one service.
+    pub index: Option<ServiceId>,
 }
 
 impl RoutedRequest {
@@ -43,7 +46,8 @@
         let timeout = inbound.patience.unwrap_or(route.timeout).min(route.timeout);
         let deadline = arrived_at + timeout;
         let objective = arrived_at + route.target_latency;
-        Self { inbound, route, config, arrived_at, deadline, objective, crash_suspect: false }
+        let (crash_suspect, index) = (false, None);
+        Self { inbound, route, config, arrived_at, deadline, objective, crash_suspect, index }
     }
 
     /// Records that the request would be sent to each of these services if their searchers had no
--- a/crates/telemetry/src/metrics/recorder.rs
+++ b/crates/telemetry/src/metrics/recorder.rs
@@ -47,6 +47,7 @@
     outcomes: Counter<u64>,
     invalid_notices: Counter<u64>,
     evacuated_zones: Gauge<u64>,
+    refusals: Counter<u64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -75,6 +76,7 @@
             outcomes: meter.u64_counter("galenaloft_requests").build(),
             invalid_notices: meter.u64_counter("galenaloft_invalid_notices").build(),
             evacuated_zones: meter.u64_gauge("galenaloft_evacuated_zones").build(),
+            refusals: meter.u64_counter("galenaloft_refusals").build(),
             registry,
             _provider: provider,
         }
@@ -126,6 +128,12 @@
         self.evacuated_zones.record(count as u64, &[]);
     }
 
+    /// Counts a request that was refused for a reason.
+    pub fn refused(&self, reason: &'static str, rank: u8) {
+        let labels = [KeyValue::new("reason", reason), KeyValue::new("rank", i64::from(rank))];
+        self.refusals.add(1, &labels);
+    }
+
     /// Returns every metric in the Prometheus text format.
     pub fn encode(&self) -> Vec<u8> {
         let mut buf = Vec::new();
--- a/tools/soak/src/world.rs
+++ b/tools/soak/src/world.rs
@@ -201,6 +201,7 @@
                 port: size.port,
                 store: to_store.address,
                 evacuation: true,
+                more: "",
                 log: size.logs.as_ref().map(|dir| dir.join(format!("e{}.log", index + 1))),
             };
             let edge = tokio::sync::Mutex::new(Edge::start(&spec)?);
