--- a/crates/telemetry/src/metrics/recorder.rs
+++ b/crates/telemetry/src/metrics/recorder.rs
@@ -48,6 +48,7 @@
     invalid_notices: Counter<u64>,
     evacuated_zones: Gauge<u64>,
     refusals: Counter<u64>,
+    admitted_shares: Gauge<f64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -77,6 +78,7 @@
             invalid_notices: meter.u64_counter("galenaloft_invalid_notices").build(),
             evacuated_zones: meter.u64_gauge("galenaloft_evacuated_zones").build(),
             refusals: meter.u64_counter("galenaloft_refusals").build(),
+            admitted_shares: meter.f64_gauge("galenaloft_admitted_share").build(),
             registry,
             _provider: provider,
         }
@@ -128,6 +130,16 @@
         self.evacuated_zones.record(count as u64, &[]);
     }
 
+    /// Sets the admitted share of the requests of a route.
+    pub fn admitted_share(&self, searchers: &str, route: &str, rank: u8, share: f64) {
+        let labels = [
+            KeyValue::new("searchers", searchers.to_owned()),
+            KeyValue::new("route", route.to_owned()),
+            KeyValue::new("rank", i64::from(rank)),
+        ];
+        self.admitted_shares.record(share, &labels);
+    }
+
     /// Counts a request that was refused for a reason.
     pub fn refused(&self, reason: &'static str, rank: u8) {
         let labels = [KeyValue::new("reason", reason), KeyValue::new("rank", i64::from(rank))];
