--- a/bin/galenaloft-edge/tests/edge/main.rs
+++ b/bin/galenaloft-edge/tests/edge/main.rs
@@ -2,5 +2,6 @@
 
 mod changes;
 mod hosts;
+mod load;
 mod notices;
 mod serving;
--- a/bin/galenaloft-edge/tests/edge/notices.rs
+++ b/bin/galenaloft-edge/tests/edge/notices.rs
@@ -159,7 +159,7 @@
 
 /// Sends requests through all hosts for some time, `rate` a second in total, and asserts that each of
 /// them is served.
-async fn send_for(hosts: &[Edge], time: Duration, rate: u32) {
+pub async fn send_for(hosts: &[Edge], time: Duration, rate: u32) {
     let started_at = Instant::now();
     let mut requests = JoinSet::new();
     for number in 0_u32.. {
