--- a/crates/policy/src/notice/gate.rs
+++ b/crates/policy/src/notice/gate.rs
@@ -131,7 +131,8 @@
     /// Returns whether the searcher's health should be checked now to hear whether its limit still
     /// holds, although the limit may leave no request for that. A paused searcher is not checked.
     pub fn begin_limit_check(&mut self, now: Instant) -> bool {
-        self.pause_end(now).is_none() && self.shared_limits().any(|limit| limit.begin_check(now))
+        self.pause_end(now).is_none()
+            && self.shared_limits().fold(false, |is_due, limit| limit.begin_check(now) | is_due)
     }
 
     /// Forgets a limit that ended some time ago. Returns whether a limit has still to be reported.
