--- a/crates/policy/src/notice/limit/tests.rs
+++ b/crates/policy/src/notice/limit/tests.rs
@@ -107,11 +107,13 @@
         self.warms_up = true;
         for number in 0..self.hosts.len() {
             let known_at = self.rng.random_range(0..1_000) * MS;
+            // A host divides a limit that begins up to 200 ms after it has learned of it.
+            let divided_at = known_at + self.rng.random_range(0..200) * MS;
             let host = &mut self.hosts[number];
             host.knows_from = known_at;
             host.gate.set_warmup_rate(Some(self.limit), self.start);
             host.gate.record_warmup(time - known_at, self.start + known_at);
-            host.next_report = self.start + known_at;
+            host.next_report = self.start + divided_at;
         }
     }
 
