--- a/crates/policy/src/notice/warmup.rs
+++ b/crates/policy/src/notice/warmup.rs
@@ -16,8 +16,8 @@
 
 /// Time by which a statement in a report has to be later than the known one. The age in a report lacks the
 /// time on the way, so that without this a statement would grow younger with each host that passes it on,
-/// and the warm-up longer.
-const REPORT_TOLERANCE: Duration = Duration::from_millis(500);
+/// and the warm-up longer. Hosts that read the store learn of an entry within about a second.
+const REPORT_TOLERANCE: Duration = Duration::from_secs(1);
 
 /// What hosts tell each other about a searcher that warms up.
 #[derive(Debug, Clone, Serialize, Deserialize)]
