--- a/crates/config/src/edge/model.rs
+++ b/crates/config/src/edge/model.rs
@@ -1,6 +1,7 @@
 //! The settings and their defaults.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 use std::time::Duration;
 
@@ -20,6 +21,12 @@
 /// Most cores, or times the speed of a usual core, that a host may have.
 const MAX_CORES: f64 = 1_024.0;
 
+/// Least and most memory of a machine, in MB. An idle host uses about 7 MB.
+const MEMORY_MB: RangeInclusive<u32> = 16..=1_048_576;
+
+/// Least and most file descriptors of a process.
+const DESCRIPTORS: RangeInclusive<u32> = 64..=1_048_576;
+
 /// Longest time that a setting may have, in seconds.
 const MAX_SECONDS: f64 = 600.0;
 
@@ -60,6 +67,10 @@
     pub grace: Duration,
     /// What an answer needs to reach its caller on an open connection, and the request before it.
     pub caller_round_trip: Duration,
+    /// Memory of the machine, in MB; `None` if it is not stated.
+    pub memory_mb: Option<u32>,
+    /// File descriptors that the process may have open; `None` for the limit of the process.
+    pub descriptors: Option<u32>,
 }
 
 impl EdgeSettings {
@@ -95,6 +106,8 @@
                 Some(field) => field.units(MILLISECOND, 0.0..=MAX_MILLISECONDS)?,
                 None => Duration::from_millis(6),
             },
+            memory_mb: read_number(top.optional("memory-mb"), MEMORY_MB)?,
+            descriptors: read_number(top.optional("descriptors"), DESCRIPTORS)?,
         };
         top.finish()?;
         Ok(settings)
@@ -128,6 +141,13 @@
     Ok(cores)
 }
 
+fn read_number(
+    field: Option<Field<'_>>,
+    range: RangeInclusive<u32>,
+) -> Result<Option<u32>, ConfigError> {
+    field.map(|field| field.number(range)).transpose()
+}
+
 fn read_extra(field: Option<Field<'_>>) -> Result<ExtraRequestLimit, ConfigError> {
     let mut bound = ExtraRequestLimit { ratio: 0.1, slack: 10.0, window: Duration::from_secs(10) };
     let Some(field) = field else {
--- a/crates/config/src/edge/tests.rs
+++ b/crates/config/src/edge/tests.rs
@@ -16,10 +16,12 @@
 extra-requests: { ratio: 0.2, slack: 54, window-seconds: 10 }
 grace-seconds: 6
 caller-round-trip-ms: 6.5
+memory-mb: 112
+descriptors: 4096
 ";
 
 /// Replacements that each make the good settings bad ones.
-const BAD: [(&str, &str); 11] = [
+const BAD: [(&str, &str); 13] = [
     ("host: e1\n", ""),
     ("zone: a", "zone: a/b"),
     ("callers: 127.0.0.1:1", "callers: localhost:1"),
@@ -31,6 +33,8 @@
     ("ratio: 0.2", "ratio: -1"),
     ("grace-seconds: 6", "grace-seconds: 6s"),
     ("caller-round-trip-ms: 6.5", "caller-round-trip: 6.5"),
+    ("memory-mb: 112", "memory-mb: 8"),
+    ("descriptors: 4096", "descriptors: many"),
 ];
 
 #[test]
--- a/crates/config/src/settings/model.rs
+++ b/crates/config/src/settings/model.rs
@@ -1,6 +1,7 @@
 //! The settings and their defaults.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 use std::time::Duration;
 
@@ -13,6 +14,12 @@
 use crate::reader::parse;
 use crate::reader::read_file;
 
+/// Least and most memory of a machine, in MB.
+const MEMORY_MB: RangeInclusive<u32> = 16..=1_048_576;
+
+/// Least and most file descriptors of a process.
+const DESCRIPTORS: RangeInclusive<u32> = 64..=1_048_576;
+
 /// Longest time that a limit may be set to.
 const MAX_TIMEOUT: Duration = Duration::from_secs(600);
 
@@ -40,6 +47,10 @@
     pub read_timeout: Duration,
     /// Tickets that are remembered.
     pub tickets: u32,
+    /// Memory of the machine, in MB; `None` if it is not stated.
+    pub memory_mb: Option<u32>,
+    /// File descriptors that the process may have open; `None` for the limit of the process.
+    pub descriptors: Option<u32>,
 }
 
 /// How a planned stop goes.
@@ -137,6 +148,8 @@
         body: 64 * 1024,
         read_timeout: Duration::from_secs(5),
         tickets: 100_000,
+        memory_mb: None,
+        descriptors: None,
     };
     let Some(field) = field else {
         return Ok(limits);
@@ -147,6 +160,8 @@
     set(&mut limits.body, map.optional("body-bytes"), |f| f.number(256..=16_777_216))?;
     set(&mut limits.read_timeout, map.optional("read-timeout"), timeout)?;
     set(&mut limits.tickets, map.optional("tickets"), |f| f.number(1..=10_000_000))?;
+    set(&mut limits.memory_mb, map.optional("memory-mb"), |f| f.number(MEMORY_MB).map(Some))?;
+    set(&mut limits.descriptors, map.optional("descriptors"), |f| f.number(DESCRIPTORS).map(Some))?;
     map.finish()?;
     Ok(limits)
 }
--- a/crates/config/src/settings/tests.rs
+++ b/crates/config/src/settings/tests.rs
@@ -11,13 +11,13 @@
   operators: 127.0.0.1:3
 platform: 127.0.0.1:4
 peers: [\"127.0.0.1:5\"]
-limits: { connections: 10, body-bytes: 4096, read-timeout: 2s }
+limits: { connections: 10, body-bytes: 4096, read-timeout: 2s, memory-mb: 112, descriptors: 4096 }
 drain: { balancer-lag: 1s, grace: 10s }
 log: warn
 ";
 
 /// Replacements that each make the good settings bad ones.
-const BAD: [(&str, &str); 10] = [
+const BAD: [(&str, &str); 12] = [
     ("host: h1\n", ""),
     ("host: h1", "host: \"\""),
     ("zone: a", "zone: a/b"),
@@ -27,6 +27,8 @@
     ("[\"127.0.0.1:5\"]", "127.0.0.1:5"),
     ("connections: 10", "connections: 0"),
     ("grace: 10s", "grace: 10"),
+    ("memory-mb: 112", "memory-mb: 8"),
+    ("descriptors: 4096", "descriptors: many"),
     ("log: warn", "log: loud"),
 ];
 
