Process tests with crowds of hostile callers, which fail on the present code

A small crowd against galenaloft-edge (160 callers, memory of 32 MB) and galenaloftd (320 callers, 64 MB): bodies of 262,144 bytes that stop one byte short, chunked bodies without an end, heads without an end, answers that are never read. Crowd and bounds are fixed here.

--- a/bin/galenaloft-edge/tests/edge/hosts.rs
+++ b/bin/galenaloft-edge/tests/edge/hosts.rs
@@ -43,6 +43,7 @@
             port,
             store: platform.store_address,
             log: None,
+            extra_settings: String::new(),
         };
         let process = edge::Edge::start(&spec).unwrap();
         Self { caller_address: process.callers, process }
--- a/bin/galenaloftd/tests/fleet/mod.rs
+++ b/bin/galenaloftd/tests/fleet/mod.rs
@@ -52,17 +52,25 @@
 pub struct Fleet {
     port: u16,
     dir: PathBuf,
+    /// What the settings of the hosts have under `limits`.
+    limits: String,
     hosts: Vec<Option<Child>>,
 }
 
 impl Fleet {
     /// Starts the stand-in and `count` hosts, and waits until all are ready and know each other.
     pub async fn start(port: u16, count: usize) -> Self {
+        Self::start_with_limits(port, count, "read-timeout: 300ms, connections: 64").await
+    }
+
+    /// Starts a fleet whose hosts have the limits given.
+    pub async fn start_with_limits(port: u16, count: usize, limits: &str) -> Self {
         let options = Options::from_texts("scene", &scene(port, count), &sheet(1)).unwrap();
         tokio::spawn(galenaloft_standin::play(options));
         let dir = std::env::temp_dir().join(format!("galenaloft-{port}-{}", std::process::id()));
         fs::create_dir_all(&dir).unwrap();
-        let mut fleet = Self { port, dir, hosts: (0..count).map(|_| None).collect() };
+        let hosts = (0..count).map(|_| None).collect();
+        let mut fleet = Self { port, dir, limits: limits.to_owned(), hosts };
         fleet.until("the stand-in is up", async |fleet| fleet.stats().await.is_some()).await;
         for host in 0..count {
             fleet.start_host(host);
@@ -77,13 +85,14 @@
         let settings = self.dir.join(format!("h{host}.yaml"));
         let text = format!(
             "host: h{host}\nzone: z{}\nlisten: {{ callers: \"{}\", peers: \"{}\", operators: \"{}\" }}\n\
-             platform: \"127.0.0.1:{}\"\nlimits: {{ read-timeout: 300ms, connections: 64 }}\n\
+             platform: \"127.0.0.1:{}\"\nlimits: {{ {} }}\n\
              drain: {{ balancer-lag: 200ms, grace: 12s }}\n",
             host % 3,
             self.callers(host),
             self.address(host, 20),
             self.operators(host),
-            self.port
+            self.port,
+            self.limits
         );
         fs::write(&settings, text).unwrap();
         let log = fs::File::create(self.log(host)).unwrap();
@@ -102,6 +111,11 @@
         child.wait().unwrap();
     }
 
+    /// Returns the process id of a running host.
+    pub fn id(&self, host: usize) -> u32 {
+        self.hosts[host].as_ref().unwrap().id()
+    }
+
     /// Sends a signal by name to one host.
     pub fn signal(&self, host: usize, name: &str) {
         let pid = self.hosts[host].as_ref().unwrap().id().to_string();
--- a/tools/soak/src/edge.rs
+++ b/tools/soak/src/edge.rs
@@ -42,6 +42,8 @@
     pub store: SocketAddr,
     /// File that takes its log, if it is kept.
     pub log: Option<PathBuf>,
+    /// Further lines of its settings, each with its line end.
+    pub extra_settings: String,
 }
 
 /// An edge host. Dropping it kills the process.
@@ -65,7 +67,7 @@
         let text = format!(
             "host: e{}\nzone: {}\nlisten:\n  callers: {}\n  readiness: {}\n  peers: {}\n  \
              metrics: {}\nstore: {}\nseeds: [\"127.0.0.1:1\", \"127.0.0.2:1\", \"127.0.0.3:1\"]\n\
-             extra-requests: {{ ratio: 0.2, slack: 54, window-seconds: 10 }}\ngrace-seconds: 6\n",
+             extra-requests: {{ ratio: 0.2, slack: 54, window-seconds: 10 }}\ngrace-seconds: 6\n{}",
             spec.number,
             spec.zone,
             at(0),
@@ -73,6 +75,7 @@
             at(2),
             at(3),
             spec.store,
+            spec.extra_settings,
         );
         fs::write(&settings, text)?;
         let output = match &spec.log {
@@ -101,6 +104,11 @@
         sent.is_ok() && balancer.read(Instant::now()).await.is_ok_and(|answer| answer.status == 200)
     }
 
+    /// Returns the id of the process, unless it has ended and was waited for.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Sends a signal to the process, unless it has ended.
     pub fn signal(&self, signal: Signal) -> io::Result<()> {
         let Some(child) = &self.child else {
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod callers;
 mod check;
+pub mod crowd;
 pub mod edge;
 mod notices;
 mod plan;
--- a/tools/soak/src/world.rs
+++ b/tools/soak/src/world.rs
@@ -192,6 +192,7 @@
                 port: size.port,
                 store: to_store.address,
                 log: size.logs.as_ref().map(|dir| dir.join(format!("e{}.log", index + 1))),
+                extra_settings: String::new(),
             };
             let edge = tokio::sync::Mutex::new(Edge::start(&spec)?);
             world.hosts.push(Host { spec, edge, to_store });
