Memory budget for callers: decision, one buffer a body, minimum rate, unread responses

Cause: the server admitted 2,000 connections of 256 KiB each without a bound on the total, kept one object per chunk with its read buffer, and let callers leave responses unread for ever. crates/policy/src/memory decides which body continues, which is refused and which connection is closed; crates/http carries it out for both daemons.

--- a/bin/galenaloftd/src/serve.rs
+++ b/bin/galenaloftd/src/serve.rs
@@ -16,8 +16,10 @@
 use galenaloft_host::network::HttpPlatform;
 use galenaloft_host::network::TcpNetwork;
 use galenaloft_host::serve_peers;
+use galenaloft_http::Budget;
 use galenaloft_http::Limits;
 use galenaloft_http::Server;
+use galenaloft_http::max_caller_connections;
 use galenaloft_peer::TcpConnector;
 use galenaloft_searcher::HttpConnector;
 use galenaloft_telemetry::log;
@@ -45,6 +47,9 @@
 /// Size of an operator's request body, in bytes.
 const OPERATOR_BODY: usize = 4_096;
 
+/// Memory of the machine if the settings do not state it, in MB.
+const DEFAULT_MEMORY_MB: u32 = 1_024;
+
 /// How long the last replies may take to be written after the planned stop.
 const LAST_REPLIES: Duration = Duration::from_secs(1);
 
@@ -63,12 +68,14 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let limits = caller_limits(&settings);
+    let memory_mb = settings.limits.memory_mb;
     let platform = HttpPlatform { address: settings.platform };
     let node = Node::new(settings, Identity::random(), TcpConnector, HttpConnector, platform);
     let (stop, stop_rx) = watch::channel(false);
     tokio::spawn(serve_peers(peers, node.clone()));
-    tokio::spawn(serve_operators(operators, node.clone(), stop_rx));
-    let front = tokio::spawn(serve_callers(callers, limits, node.clone()));
+    let budget = Budget::for_machine(memory_mb, DEFAULT_MEMORY_MB, node.metrics().clone());
+    tokio::spawn(serve_operators(operators, node.clone(), stop_rx, budget.clone()));
+    let front = tokio::spawn(serve_callers(callers, limits, node.clone(), budget));
     let tasks = node.start();
 
     let mut phase = node.phase();
@@ -99,7 +106,7 @@
 }
 
 /// Serves callers until the host closes to them, then until their last request has ended.
-async fn serve_callers(listener: TcpListener, limits: Limits, node: RealNode) {
+async fn serve_callers(listener: TcpListener, limits: Limits, node: RealNode, budget: Budget) {
     let (close, stop) = watch::channel(false);
     let mut phase = node.phase();
     tokio::spawn(async move {
@@ -107,11 +114,16 @@
         let _ = phase.wait_for(|phase| *phase == Phase::Stopping).await;
         close.send_replace(true);
     });
-    let server = Server::new(listener, limits, server_error_reply);
+    let server = Server::new(listener, limits, server_error_reply).with_budget(budget);
     server.serve(move |req| handle_caller(node.clone(), req), stop).await;
 }
 
-async fn serve_operators(listener: TcpListener, node: RealNode, stop: watch::Receiver<bool>) {
+async fn serve_operators(
+    listener: TcpListener,
+    node: RealNode,
+    stop: watch::Receiver<bool>,
+    budget: Budget,
+) {
     let limits = Limits {
         connections: OPERATOR_CONNECTIONS,
         head: OPERATOR_HEAD,
@@ -119,7 +131,7 @@
         read_timeout: Duration::from_secs(5),
         idle_timeout: Duration::from_secs(5),
     };
-    let server = Server::plain(listener, limits);
+    let server = Server::plain(listener, limits).with_budget(budget);
     server.serve(move |req| handle_operator(node.clone(), req), stop).await;
 }
 
@@ -128,8 +140,9 @@
 }
 
 fn caller_limits(settings: &Settings) -> Limits {
+    let max_connections = max_caller_connections(settings.limits.descriptors);
     Limits {
-        connections: settings.limits.connections as usize,
+        connections: (settings.limits.connections as usize).min(max_connections),
         head: CALLER_HEAD,
         body: settings.limits.body as usize,
         read_timeout: settings.limits.read_timeout,
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -13,6 +13,7 @@
 use galenaloft_adapter::searcher;
 use galenaloft_config::edge::EdgeSettings;
 use galenaloft_http::Limits;
+use galenaloft_http::max_caller_connections;
 use galenaloft_policy::directory::Change;
 use galenaloft_policy::directory::RevisionedChange;
 use galenaloft_policy::ids::Capacity;
@@ -49,8 +50,8 @@
 use crate::searchers::Fleet;
 use crate::searchers::Searcher;
 
-/// Maximum number of open connections from callers. The platform grants a process a few thousand
-/// file descriptors.
+/// Maximum number of open connections from callers, if the process may have that many descriptors.
+/// The platform grants a process a few thousand file descriptors.
 const MAX_CALLER_CONNECTIONS: usize = 2_000;
 
 /// Divisor of a route's target latency that gives the expected searcher latency before the first
@@ -122,6 +123,7 @@
 impl Host {
     /// Creates the state of a host that has no configuration and knows no searchers or peers.
     pub fn new(settings: EdgeSettings, incarnation: u64) -> Self {
+        let max_connections = max_caller_connections(settings.descriptors);
         Self {
             peers: Peers::new(&settings, incarnation),
             relays: Relays::default(),
@@ -133,7 +135,7 @@
             config: Mutex::new(None),
             // Sizes are in bytes. A configuration replaces `head`, `body` and `idle_timeout`.
             limits: watch::channel(Limits {
-                connections: MAX_CALLER_CONNECTIONS,
+                connections: MAX_CALLER_CONNECTIONS.min(max_connections),
                 head: 16 * 1024,
                 body: 256 * 1024,
                 read_timeout: Duration::from_secs(3),
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -9,6 +9,7 @@
 use std::time::SystemTime;
 
 use galenaloft_config::edge::EdgeSettings;
+use galenaloft_http::Budget;
 use galenaloft_http::Limits;
 use galenaloft_http::Server;
 use galenaloft_http::text;
@@ -38,6 +39,9 @@
 /// Part of the shutdown grace period that is reserved for writing the last answers.
 const LAST_ANSWERS_RESERVE: Duration = Duration::from_millis(900);
 
+/// Memory of the machine if the settings do not state it, in MB: that of the largest hosts.
+const DEFAULT_MEMORY_MB: u32 = 512;
+
 /// Limits on connections to the readiness and metrics endpoints.
 const MONITORING_LIMITS: Limits = Limits {
     connections: 32,
@@ -120,7 +124,10 @@
 /// Serves callers until `stop` turns true and running requests have ended.
 async fn serve_callers(listener: TcpListener, host: Arc<Host>, stop: watch::Receiver<bool>) {
     let limits = host.limits.subscribe();
-    let server = Server::with_changing_limits(listener, limits, |status, why| text(status, why));
+    let memory_mb = host.settings.memory_mb;
+    let budget = Budget::for_machine(memory_mb, DEFAULT_MEMORY_MB, host.metrics.clone());
+    let server = Server::with_changing_limits(listener, limits, |status, why| text(status, why))
+        .with_budget(budget);
     server.serve(move |req| api::answer(host.clone(), req), stop).await;
 }
 
--- a/crates/host/src/node/model.rs
+++ b/crates/host/src/node/model.rs
@@ -172,6 +172,11 @@
         })
     }
 
+    /// Returns the counters and latency histograms of the host.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// Returns a receiver of the current phase and its changes.
     pub fn phase(&self) -> watch::Receiver<Phase> {
         self.phase.subscribe()
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,10 +1,15 @@
 //! Bounded HTTP/1.1 on both sides: a server with limits and a client of one connection.
 
+mod body;
+mod budget;
 mod client;
 mod error;
 mod respond;
 mod server;
+mod stream;
 
+pub use budget::Budget;
+pub use budget::max_caller_connections;
 pub use client::Connection;
 pub use client::prepare;
 pub use error::HttpError;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -4,34 +4,36 @@
 use std::io;
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures::FutureExt;
 use galenaloft_telemetry::log::Event;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use crate::body::BodyError;
+use crate::body::read_body;
+use crate::budget::Budget;
+use crate::budget::Connection;
 use crate::respond::Reply;
 use crate::respond::text;
+use crate::stream::CallerStream;
 
 /// Most headers of a request.
 const MAX_HEADERS: usize = 64;
@@ -42,13 +44,8 @@
 /// Pause after a failed accept, so that a lack of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// How long a connection without any request yet stays open after a planned stop began, so that a
-/// client that has just connected gets its first request answered.
-const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
-
-/// How long an idle connection stays open after a planned stop began. A request that was sent
-/// before that is read and answered.
-const NEXT_REQUEST_WAIT: Duration = Duration::from_millis(100);
+/// How long a new connection waits for the descriptor of one that is closed in its favour.
+const DESCRIPTOR_WAIT: Duration = Duration::from_secs(1);
 
 /// Bounds on what clients may take up.
 #[derive(Debug, Clone)]
@@ -59,7 +56,7 @@
     pub head: usize,
     /// Size of a body, in bytes.
     pub body: usize,
-    /// Time for a body to arrive.
+    /// Time for a body to arrive, beyond what its bytes need at the minimum rate.
     pub read_timeout: Duration,
     /// Time for the next head to arrive, idle time included.
     pub idle_timeout: Duration,
@@ -82,6 +79,7 @@
     listener: TcpListener,
     limits: watch::Receiver<Limits>,
     error_reply: ErrorReply,
+    budget: Budget,
 }
 
 impl Server {
@@ -96,7 +94,7 @@
         limits: watch::Receiver<Limits>,
         error_reply: ErrorReply,
     ) -> Self {
-        Self { listener, limits, error_reply }
+        Self { listener, limits, error_reply, budget: Budget::unlimited() }
     }
 
     /// Creates a server whose own replies are in plain text.
@@ -104,6 +102,12 @@
         Self::new(listener, limits, |status, why| text(status, why))
     }
 
+    /// Makes the connections take their memory out of a budget of the process.
+    pub fn with_budget(mut self, budget: Budget) -> Self {
+        self.budget = budget;
+        self
+    }
+
     /// Accepts connections until `stop` turns true, then waits until running requests have ended.
     /// Connections that are in the listen queue by then are accepted and served.
     pub async fn serve<H, F>(self, handler: H, stop: watch::Receiver<bool>)
@@ -113,16 +117,41 @@
     {
         let connections = self.limits.borrow().connections;
         let permits = Arc::new(Semaphore::new(connections));
+        if let Some(size) = self.budget.socket_buffer() {
+            bound_socket_buffers(&self.listener, size);
+        }
         let spawn = |stream: TcpStream| {
-            let Ok(permit) = permits.clone().try_acquire_owned() else {
+            let permit = permits.clone().try_acquire_owned().ok();
+            if permit.is_none() && !self.budget.close_longest_waiting() {
+                self.budget.record_closed("too_many");
+                return;
+            }
+            let Some(connection) = self.budget.connect() else {
                 return;
             };
             let limits = self.limits.borrow().clone();
-            let connection =
-                serve_connection(stream, limits, self.error_reply, handler.clone(), stop.clone());
+            let serving = serve_connection(
+                stream,
+                limits,
+                self.error_reply,
+                handler.clone(),
+                stop.clone(),
+                connection.clone(),
+            );
+            let permits = permits.clone();
             tokio::spawn(async move {
-                // A broken connection concerns its client only.
-                let _ = connection.await;
+                let permit = match permit {
+                    Some(permit) => Some(permit),
+                    None => match timeout(DESCRIPTOR_WAIT, permits.acquire_owned()).await {
+                        Ok(permit) => permit.ok(),
+                        Err(_) => None,
+                    },
+                };
+                if permit.is_some() {
+                    // A broken connection concerns its client only.
+                    let _ = serving.await;
+                }
+                connection.disconnect();
                 drop(permit);
             });
         };
@@ -155,6 +184,7 @@
     error_reply: ErrorReply,
     handler: H,
     mut stop: watch::Receiver<bool>,
+    connection: Arc<Connection>,
 ) -> io::Result<()>
 where
     H: Fn(Request<Bytes>) -> F + Clone + Send + Sync + 'static,
@@ -162,8 +192,7 @@
 {
     stream.set_nodelay(true)?;
     let (body_limit, read_timeout) = (limits.body, limits.read_timeout);
-    let requests = Arc::new(Requests::default());
-    let counted = requests.clone();
+    let counted = connection.clone();
     let stopping = stop.clone();
     let service = service_fn(move |mut req: Request<Incoming>| {
         let handler = handler.clone();
@@ -171,77 +200,64 @@
         req.extensions_mut().insert(Arrival { first_on_connection });
         let (counted, stopping) = (counted.clone(), stopping.clone());
         async move {
-            let mut reply = match read_body(req, body_limit, read_timeout).await {
+            let mut reply = match read_body(req, body_limit, read_timeout, &counted).await {
                 Ok(req) => answer(handler, req, error_reply).await,
-                Err((status, why)) => error_reply(status, &why),
+                Err(e) => refuse(&e, error_reply),
             };
             if *stopping.borrow() {
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            counted.record_ended();
+            counted.record_ended(reply.body().size_hint().lower() as usize);
             Ok::<Reply, Infallible>(reply)
         }
     });
-    let connection = http1::Builder::new()
+    let stream = CallerStream::new(stream, connection.clone(), limits.head);
+    let serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .auto_date_header(false)
         .max_headers(MAX_HEADERS)
         .max_buf_size(limits.head.max(MIN_HEAD))
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
+    tokio::pin!(serving);
     let next_request = async {
         // The sender is dropped only when the process ends, which counts as a stop too.
         let _ = stop.wait_for(|stopping| *stopping).await;
-        requests.wait_for_next().await;
+        connection.wait_for_next().await;
     };
     tokio::select! {
         biased;
-        result = &mut connection => return result.map_err(io::Error::other),
+        result = &mut serving => return result.map_err(io::Error::other),
+        () = connection.close.notified() => return Ok(()),
         () = next_request => {}
     }
     // The answer to a request in progress asks the client to close the connection.
-    connection.as_mut().graceful_shutdown();
-    connection.await.map_err(io::Error::other)
-}
-
-/// Requests that were read on one connection.
-#[derive(Debug, Default)]
-struct Requests {
-    started: AtomicU64,
-    ended: AtomicU64,
-    /// Signalled when a request was read.
-    request_read: Notify,
-}
-
-impl Requests {
-    /// Counts a request that was read, and returns their number.
-    fn record_started(&self) -> u64 {
-        self.request_read.notify_one();
-        self.started.fetch_add(1, Ordering::Relaxed) + 1
+    serving.as_mut().graceful_shutdown();
+    tokio::select! {
+        biased;
+        result = serving => result.map_err(io::Error::other),
+        () = connection.close.notified() => Ok(()),
     }
+}
 
-    /// Counts a request that was answered.
-    fn record_ended(&self) {
-        self.ended.fetch_add(1, Ordering::Relaxed);
+/// Bounds the kernel's buffers of the sockets that a listener accepts.
+fn bound_socket_buffers(listener: &TcpListener, size: usize) {
+    let socket = SockRef::from(listener);
+    let bounded = socket.set_recv_buffer_size(size).and(socket.set_send_buffer_size(size));
+    if let Err(e) = bounded {
+        Event::new("socket_buffer_not_bounded").with("why", e).warn();
     }
+}
 
-    /// Returns at once while a request is in progress; otherwise waits for the next one, for as
-    /// long as one may be under way.
-    async fn wait_for_next(&self) {
-        let started = self.started.load(Ordering::Relaxed);
-        if started > self.ended.load(Ordering::Relaxed) {
-            return;
-        }
-        let limit = if started == 0 { FIRST_REQUEST_WAIT } else { NEXT_REQUEST_WAIT };
-        let next_read = async {
-            while self.started.load(Ordering::Relaxed) == started {
-                self.request_read.notified().await;
-            }
-        };
-        // Without a further request the connection is idle, and is closed.
-        let _ = timeout(limit, next_read).await;
+/// Builds the reply to a request whose body was not read. It is the last one on its connection.
+fn refuse(e: &BodyError, error_reply: ErrorReply) -> Reply {
+    let mut reply = error_reply(e.status, &e.why);
+    reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    let seconds = e.retry_after.map(|time| format!("{:.3}", time.as_secs_f64()));
+    if let Some(value) = seconds.and_then(|seconds| HeaderValue::from_str(&seconds).ok()) {
+        reply.headers_mut().insert(RETRY_AFTER, value);
     }
+    reply
 }
 
 /// Has the handler answer a request. A panic concerns that request only: it is answered 500 and its
@@ -259,25 +275,3 @@
         error_reply(StatusCode::INTERNAL_SERVER_ERROR, "the request could not be handled")
     })
 }
-
-async fn read_body(
-    req: Request<Incoming>,
-    limit: usize,
-    read_timeout: Duration,
-) -> Result<Request<Bytes>, (StatusCode, String)> {
-    let (head, body) = req.into_parts();
-    let too_large = || (StatusCode::PAYLOAD_TOO_LARGE, format!("the body exceeds {limit} bytes"));
-    if body.size_hint().lower() > limit as u64 {
-        return Err(too_large());
-    }
-    let collected = timeout(read_timeout, Limited::new(body, limit).collect()).await;
-    let collected = collected.map_err(|_| {
-        let why = format!("the body did not arrive within {read_timeout:?}");
-        (StatusCode::REQUEST_TIMEOUT, why)
-    })?;
-    match collected {
-        Ok(body) => Ok(Request::from_parts(head, body.to_bytes())),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(too_large()),
-        Err(e) => Err((StatusCode::BAD_REQUEST, format!("the body is broken: {e}"))),
-    }
-}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod heartbeat;
 pub mod ids;
 pub mod membership;
+pub mod memory;
 pub mod notice;
 pub mod quarantine;
 pub mod queue;
--- a/crates/telemetry/src/metrics/recorder.rs
+++ b/crates/telemetry/src/metrics/recorder.rs
@@ -6,6 +6,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Encoder;
@@ -45,6 +46,9 @@
     attempts: Counter<u64>,
     outcomes: Counter<u64>,
     invalid_notices: Counter<u64>,
+    bodies_refused: Counter<u64>,
+    connections_closed: Counter<u64>,
+    meter: Meter,
 }
 
 impl fmt::Debug for Metrics {
@@ -72,6 +76,9 @@
             attempts: meter.u64_counter("galenaloft_attempts").build(),
             outcomes: meter.u64_counter("galenaloft_requests").build(),
             invalid_notices: meter.u64_counter("galenaloft_invalid_notices").build(),
+            bodies_refused: meter.u64_counter("galenaloft_bodies_refused").build(),
+            connections_closed: meter.u64_counter("galenaloft_connections_closed").build(),
+            meter,
             registry,
             _provider: provider,
         }
@@ -118,6 +125,22 @@
         self.invalid_notices.add(1, &[]);
     }
 
+    /// Counts a caller's body that was refused, by reason.
+    pub fn body_refused(&self, reason: &'static str) {
+        self.bodies_refused.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a caller's connection that the server closed, by reason.
+    pub fn connection_closed(&self, reason: &'static str) {
+        self.connections_closed.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Shows the bytes that callers hold, as `bytes` returns them.
+    pub fn observe_caller_bytes(&self, bytes: impl Fn() -> u64 + Send + Sync + 'static) {
+        let gauge = self.meter.u64_observable_gauge("galenaloft_caller_bytes");
+        gauge.with_callback(move |observer| observer.observe(bytes(), &[])).build();
+    }
+
     /// Returns every metric in the Prometheus text format.
     pub fn encode(&self) -> Vec<u8> {
         let mut buf = Vec::new();
