--- a/bin/galenaloftd/tests/fleet/mod.rs
+++ b/bin/galenaloftd/tests/fleet/mod.rs
@@ -112,6 +112,8 @@
     }
 
     /// Returns the process id of a running host.
+    // One of the test binaries that share this file has no use for it.
+    #[allow(dead_code)]
     pub fn id(&self, host: usize) -> u32 {
         self.hosts[host].as_ref().unwrap().id()
     }
