--- a/bin/galenaloft-edge/tests/edge/evacuation.rs
+++ b/bin/galenaloft-edge/tests/edge/evacuation.rs
@@ -39,7 +39,7 @@
         number,
         port,
         store: platform.store_address,
-        evacuation: true,
+        extra_settings: "evacuation: true\n".to_owned(),
         log: None,
     }
 }
--- a/bin/galenaloft-edge/tests/edge/hosts.rs
+++ b/bin/galenaloft-edge/tests/edge/hosts.rs
@@ -42,8 +42,8 @@
             number: host,
             port,
             store: platform.store_address,
-            evacuation: false,
             log: None,
+            extra_settings: String::new(),
         };
         Self::start_with(&spec)
     }
--- a/crates/config/src/edge/model.rs
+++ b/crates/config/src/edge/model.rs
@@ -1,6 +1,7 @@
 //! The settings and their defaults.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 use std::time::Duration;
 
@@ -20,6 +21,12 @@
 /// Most cores, or times the speed of a usual core, that a host may have.
 const MAX_CORES: f64 = 1_024.0;
 
+/// Least and most memory of a machine, in MB. An idle host uses about 7 MB.
+const MEMORY_MB: RangeInclusive<u32> = 16..=1_048_576;
+
+/// Least and most file descriptors of a process.
+const DESCRIPTORS: RangeInclusive<u32> = 64..=1_048_576;
+
 /// Longest time that a setting may have, in seconds.
 const MAX_SECONDS: f64 = 600.0;
 
@@ -62,6 +69,10 @@
     pub caller_round_trip: Duration,
     /// Whether the operator can evacuate zones.
     pub evacuation: bool,
+    /// Memory of the machine, in MB; `None` if it is not stated.
+    pub memory_mb: Option<u32>,
+    /// File descriptors that the process may have open; `None` for the limit of the process.
+    pub descriptors: Option<u32>,
 }
 
 impl EdgeSettings {
@@ -98,6 +109,8 @@
                 None => Duration::from_millis(6),
             },
             evacuation: read_evacuation(top.optional("evacuation"))?,
+            memory_mb: read_number(top.optional("memory-mb"), MEMORY_MB)?,
+            descriptors: read_number(top.optional("descriptors"), DESCRIPTORS)?,
         };
         top.finish()?;
         Ok(settings)
@@ -135,6 +148,13 @@
     field.map_or(Ok(false), |field| field.choice(&[("true", true), ("false", false)]))
 }
 
+fn read_number(
+    field: Option<Field<'_>>,
+    range: RangeInclusive<u32>,
+) -> Result<Option<u32>, ConfigError> {
+    field.map(|field| field.number(range)).transpose()
+}
+
 fn read_extra(field: Option<Field<'_>>) -> Result<ExtraRequestLimit, ConfigError> {
     let mut bound = ExtraRequestLimit { ratio: 0.1, slack: 10.0, window: Duration::from_secs(10) };
     let Some(field) = field else {
--- a/crates/telemetry/src/metrics/recorder.rs
+++ b/crates/telemetry/src/metrics/recorder.rs
@@ -7,6 +7,7 @@
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Encoder;
@@ -47,6 +48,9 @@
     outcomes: Counter<u64>,
     invalid_notices: Counter<u64>,
     evacuated_zones: Gauge<u64>,
+    bodies_refused: Counter<u64>,
+    connections_closed: Counter<u64>,
+    meter: Meter,
 }
 
 impl fmt::Debug for Metrics {
@@ -75,6 +79,9 @@
             outcomes: meter.u64_counter("galenaloft_requests").build(),
             invalid_notices: meter.u64_counter("galenaloft_invalid_notices").build(),
             evacuated_zones: meter.u64_gauge("galenaloft_evacuated_zones").build(),
+            bodies_refused: meter.u64_counter("galenaloft_bodies_refused").build(),
+            connections_closed: meter.u64_counter("galenaloft_connections_closed").build(),
+            meter,
             registry,
             _provider: provider,
         }
@@ -126,6 +133,22 @@
         self.evacuated_zones.record(count as u64, &[]);
     }
 
+    /// Counts a caller's body that was refused, by reason.
+    pub fn body_refused(&self, reason: &'static str) {
+        self.bodies_refused.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a caller's connection that the server closed, by reason.
+    pub fn connection_closed(&self, reason: &'static str) {
+        self.connections_closed.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Shows the bytes that callers hold, as `bytes` returns them.
+    pub fn observe_caller_bytes(&self, bytes: impl Fn() -> u64 + Send + Sync + 'static) {
+        let gauge = self.meter.u64_observable_gauge("galenaloft_caller_bytes");
+        gauge.with_callback(move |observer| observer.observe(bytes(), &[])).build();
+    }
+
     /// Returns every metric in the Prometheus text format.
     pub fn encode(&self) -> Vec<u8> {
         let mut buf = Vec::new();
--- a/tools/soak/src/world.rs
+++ b/tools/soak/src/world.rs
@@ -200,8 +200,8 @@
                 number: u8::try_from(index + 1).map_err(io::Error::other)?,
                 port: size.port,
                 store: to_store.address,
-                evacuation: true,
                 log: size.logs.as_ref().map(|dir| dir.join(format!("e{}.log", index + 1))),
+                extra_settings: "evacuation: true\n".to_owned(),
             };
             let edge = tokio::sync::Mutex::new(Edge::start(&spec)?);
             world.hosts.push(Host { spec, edge, to_store });
