--- a/bin/galenaloft-edge/tests/edge/admission.rs
+++ b/bin/galenaloft-edge/tests/edge/admission.rs
@@ -25,14 +25,8 @@
 
 const BY_COST: &str = "admission: by-cost\n";
 
-async fn start_ready(
-    platform: &Scene,
-    zone: &str,
-    host: u8,
-    port: u16,
-    more: &'static str,
-) -> Edge {
-    let edge = Edge::start_with(platform, zone, host, port, more);
+async fn start_ready(platform: &Scene, zone: &str, host: u8, port: u16, more: &str) -> Edge {
+    let edge = Edge::start_with(&Edge::spec(platform, zone, host, port, more));
     wait_until("the host is ready", || edge.is_ready()).await;
     edge
 }
@@ -133,7 +127,7 @@
     let platform = Scene::start(&layout).await.unwrap();
     let _aggregator = start_ready(&platform, "b", 2, 28720, BY_COST).await;
     // Its own zone has no searchers, so it is not ready, but it serves callers.
-    let edge = Edge::start_with(&platform, "a", 1, 28720, BY_COST);
+    let edge = Edge::start_with(&Edge::spec(&platform, "a", 1, 28720, BY_COST));
     wait_until("the host accepts callers", || async {
         TcpStream::connect(edge.caller_address).await.is_ok()
     })
--- a/bin/galenaloft-edge/tests/edge/evacuation.rs
+++ b/bin/galenaloft-edge/tests/edge/evacuation.rs
@@ -33,15 +33,7 @@
 
 /// Returns the settings of a host at which zones can be evacuated.
 fn spec(platform: &Scene, zone: &str, number: u8, port: u16) -> edge::Spec {
-    edge::Spec {
-        binary: env!("CARGO_BIN_EXE_galenaloft-edge").into(),
-        zone: zone.to_owned(),
-        number,
-        port,
-        store: platform.store_address,
-        evacuation: true,
-        log: None,
-    }
+    Edge::spec(platform, zone, number, port, "evacuation: true\n")
 }
 
 async fn start_with(spec: edge::Spec) -> Edge {
--- a/bin/galenaloft-edge/tests/edge/hosts.rs
+++ b/bin/galenaloft-edge/tests/edge/hosts.rs
@@ -36,28 +36,26 @@
     /// Starts the host with number `host` in `zone`, on a loopback address of its own. `port` is
     /// the first of its ports; hosts of one cluster have the same.
     pub fn start(platform: &Scene, zone: &str, host: u8, port: u16) -> Self {
-        Self::start_with(platform, zone, host, port, "")
+        Self::start_with(&Self::spec(platform, zone, host, port, ""))
     }
 
-    /// Starts a host with further lines of settings.
-    pub fn start_with(
+    /// Returns how a host is started with further lines of settings.
+    pub fn spec(
         platform: &Scene,
         zone: &str,
-        host: u8,
+        number: u8,
         port: u16,
-        more: &'static str,
-    ) -> Self {
-        let spec = edge::Spec {
+        extra_settings: &str,
+    ) -> edge::Spec {
+        edge::Spec {
             binary: env!("CARGO_BIN_EXE_galenaloft-edge").into(),
             zone: zone.to_owned(),
-            number: host,
+            number,
             port,
             store: platform.store_address,
-            evacuation: false,
-            more,
             log: None,
-        };
-        Self::start_with(&spec)
+            extra_settings: extra_settings.to_owned(),
+        }
     }
 
     /// Starts a host with other settings than the usual ones.
--- a/bin/galenaloft-edge/tests/edge/main.rs
+++ b/bin/galenaloft-edge/tests/edge/main.rs
@@ -4,5 +4,6 @@
 mod changes;
 mod evacuation;
 mod hosts;
+mod load;
 mod notices;
 mod serving;
--- a/crates/config/src/edge/model.rs
+++ b/crates/config/src/edge/model.rs
@@ -1,6 +1,7 @@
 //! The settings and their defaults.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 use std::time::Duration;
 
@@ -20,6 +21,12 @@
 /// Most cores, or times the speed of a usual core, that a host may have.
 const MAX_CORES: f64 = 1_024.0;
 
+/// Least and most memory of a machine, in MB. An idle host uses about 7 MB.
+const MEMORY_MB: RangeInclusive<u32> = 16..=1_048_576;
+
+/// Least and most file descriptors of a process.
+const DESCRIPTORS: RangeInclusive<u32> = 64..=1_048_576;
+
 /// Longest time that a setting may have, in seconds.
 const MAX_SECONDS: f64 = 600.0;
 
@@ -73,6 +80,10 @@
     pub evacuation: bool,
     /// Which requests are sent to searchers.
     pub admission: EdgeAdmission,
+    /// Memory of the machine, in MB; `None` if it is not stated.
+    pub memory_mb: Option<u32>,
+    /// File descriptors that the process may have open; `None` for the limit of the process.
+    pub descriptors: Option<u32>,
 }
 
 impl EdgeSettings {
@@ -110,6 +121,8 @@
             },
             evacuation: read_evacuation(top.optional("evacuation"))?,
             admission: read_admission(top.optional("admission"))?,
+            memory_mb: read_number(top.optional("memory-mb"), MEMORY_MB)?,
+            descriptors: read_number(top.optional("descriptors"), DESCRIPTORS)?,
         };
         top.finish()?;
         Ok(settings)
@@ -154,6 +167,13 @@
     }
 }
 
+fn read_number(
+    field: Option<Field<'_>>,
+    range: RangeInclusive<u32>,
+) -> Result<Option<u32>, ConfigError> {
+    field.map(|field| field.number(range)).transpose()
+}
+
 fn read_extra(field: Option<Field<'_>>) -> Result<ExtraRequestLimit, ConfigError> {
     let mut bound = ExtraRequestLimit { ratio: 0.1, slack: 10.0, window: Duration::from_secs(10) };
     let Some(field) = field else {
--- a/tools/soak/src/edge.rs
+++ b/tools/soak/src/edge.rs
@@ -40,12 +40,10 @@
     pub port: u16,
     /// Where it finds the store.
     pub store: SocketAddr,
-    /// Whether the operator can evacuate zones.
-    pub evacuation: bool,
-    /// Further lines of its settings.
-    pub more: &'static str,
     /// File that takes its log, if it is kept.
     pub log: Option<PathBuf>,
+    /// Further lines of its settings, each with its line end.
+    pub extra_settings: String,
 }
 
 /// An edge host. Dropping it kills the process.
@@ -77,10 +75,9 @@
             at(2),
             at(3),
             spec.store,
-            spec.more,
+            spec.extra_settings,
         );
-        let evacuation = if spec.evacuation { "evacuation: true\n" } else { "" };
-        fs::write(&settings, text + evacuation)?;
+        fs::write(&settings, text)?;
         let output = match &spec.log {
             Some(file) => append(file)?.into(),
             None => Stdio::null(),
@@ -107,6 +104,11 @@
         sent.is_ok() && balancer.read(Instant::now()).await.is_ok_and(|answer| answer.status == 200)
     }
 
+    /// Returns the id of the process, unless it has ended and was waited for.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Sends a signal to the process, unless it has ended.
     pub fn signal(&self, signal: Signal) -> io::Result<()> {
         let Some(child) = &self.child else {
