Bound the estimate of the admitted work by what is offered

An estimate made before the first latency was known stayed far above the offered work, so that rejections lowered it for seconds without effect: 0 of 150 fetches were refused while every searcher rejected them, 36 with the bound. The process test now sends 300 requests, as a service with few outcomes needs about a second; the share that must be refused is the same.

--- a/bin/galenaloft-edge/tests/edge/admission.rs
+++ b/bin/galenaloft-edge/tests/edge/admission.rs
@@ -21,7 +21,7 @@
 const MS: Duration = Duration::from_millis(1);
 
 /// Requests that are enough to learn that every searcher rejects them.
-const REQUESTS: usize = 150;
+const REQUESTS: usize = 300;
 
 const BY_COST: &str = "admission: by-cost\n";
 
--- a/crates/policy/src/admission/by_cost/controller.rs
+++ b/crates/policy/src/admission/by_cost/controller.rs
@@ -243,6 +243,9 @@
             // Work that the searchers answer is within their capacity, whatever waits behind it.
             let lowered = match self.capacity {
                 Some(current) => {
+                    // An estimate above what is offered has no effect. It can be far above if it was
+                    // made before the first latency was known.
+                    let current = current.min(admitted.max(offered));
                     let least = current * (1.0 - MAX_DECREASE * excess);
                     least.max(answered * ANSWERED_SHARE).min(current * MAX_REMAINDER)
                 }
