--- a/tools/soak/src/check.rs
+++ b/tools/soak/src/check.rs
@@ -271,19 +271,21 @@
         self.add(broken);
     }
 
-    /// Returns the time from which no request may reach a zone that was evacuated at `from`.
+    /// Returns the time from which no request may reach a zone that was evacuated at `from`. While the
+    /// store is away, nobody can learn of it; a host that is held learns of it afterwards.
     fn evacuation_bound(&self, from: Instant) -> Instant {
         let mut bound = from + EVACUATION_BOUND;
         let mut events: Vec<&Event> = self.history.events.iter().collect();
-        events.retain(|event| matches!(event.target, Target::Host(_) | Target::Store));
+        events.retain(|event| event.until.is_some_and(|until| until >= from));
         events.sort_by_key(|event| event.from);
-        for event in events {
-            let until = event.until.unwrap_or(event.from);
-            if event.from <= bound && until >= from {
-                bound = bound.max(until + EVACUATION_BOUND);
+        let end = |event: &Event| event.until.unwrap_or(event.from) + EVACUATION_BOUND;
+        for event in events.iter().filter(|event| event.target == Target::Store) {
+            if event.from <= bound {
+                bound = bound.max(end(event));
             }
         }
-        bound
+        let held = events.iter().filter(|event| matches!(event.target, Target::Host(_)));
+        held.filter(|event| event.from <= bound).map(|event| end(event)).fold(bound, Instant::max)
     }
 
     fn check_answer(&mut self, seen: &Seen) {
