Count late parts that waited for room as rejected

Cause: with requests ordered on the host, those at the front of the queue hardly wait, so that the mean wait shows little of a lack of capacity while the rest is late.

--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -110,6 +110,8 @@
     /// When the request began to wait for a searcher; `None` before, and once its outcome was
     /// recorded.
     waiting_since: Option<Instant>,
+    /// Whether it waited on this host because no searcher had room.
+    waited_for_room: bool,
 }
 
 impl ShardQuery {
@@ -134,6 +136,7 @@
             charged_as_extra: false,
             finished: finished.clone(),
             waiting_since: None,
+            waited_for_room: false,
         }
     }
 
@@ -259,8 +262,14 @@
     /// Records the outcome of the request for the admission of later ones, once.
     fn record_outcome(&mut self, outcome: PartOutcome) {
         if let Some(since) = self.waiting_since.take() {
-            let (host, service) = (&self.host, &self.service_id);
-            admission::record_outcome(host, &self.request, service, outcome, since, now());
+            let (host, service, now) = (&self.host, &self.service_id, now());
+            if self.waited_for_room && now > self.request.objective {
+                // The requests at the front of the queue hardly wait, so that the mean wait shows
+                // little of the lack of room that made this one late.
+                let late = PartOutcome::Rejected;
+                admission::record_outcome(host, &self.request, service, late, since, now);
+            }
+            admission::record_outcome(host, &self.request, service, outcome, since, now);
         }
     }
 
@@ -311,6 +320,7 @@
                         false => CONNECTION_CHECK_INTERVAL,
                     };
                     let check_at = (now + interval).min(self.request.deadline);
+                    self.waited_for_room |= self.orders_by_cost();
                     let waiter = self.service.waiting.join(self.urgency());
                     tokio::select! {
                         () = waiter.turn() => {}
