--- a/bin/galenaloft-edge/tests/edge/hosts.rs
+++ b/bin/galenaloft-edge/tests/edge/hosts.rs
@@ -36,16 +36,26 @@
     /// Starts the host with number `host` in `zone`, on a loopback address of its own. `port` is
     /// the first of its ports; hosts of one cluster have the same.
     pub fn start(platform: &Scene, zone: &str, host: u8, port: u16) -> Self {
-        let spec = edge::Spec {
+        Self::start_with(&Self::spec(platform, zone, host, port, ""))
+    }
+
+    /// Returns how a host is started with further lines of settings.
+    pub fn spec(
+        platform: &Scene,
+        zone: &str,
+        number: u8,
+        port: u16,
+        extra_settings: &str,
+    ) -> edge::Spec {
+        edge::Spec {
             binary: env!("CARGO_BIN_EXE_galenaloft-edge").into(),
             zone: zone.to_owned(),
-            number: host,
+            number,
             port,
             store: platform.store_address,
             log: None,
-            extra_settings: String::new(),
-        };
-        Self::start_with(&spec)
+            extra_settings: extra_settings.to_owned(),
+        }
     }
 
     /// Starts a host with other settings than the usual ones.
--- a/crates/config/src/edge/model.rs
+++ b/crates/config/src/edge/model.rs
@@ -46,6 +46,15 @@
     pub metrics: SocketAddr,
 }
 
+/// Which requests an edge host sends to searchers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EdgeAdmission {
+    /// All of them.
+    All,
+    /// While capacity is insufficient, those whose refusal would cost callers most.
+    ByCost,
+}
+
 /// Settings of an edge host.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EdgeSettings {
@@ -69,6 +78,8 @@
     pub caller_round_trip: Duration,
     /// Whether the operator can evacuate zones.
     pub evacuation: bool,
+    /// Which requests are sent to searchers.
+    pub admission: EdgeAdmission,
     /// Memory of the machine, in MB; `None` if it is not stated.
     pub memory_mb: Option<u32>,
     /// File descriptors that the process may have open; `None` for the limit of the process.
@@ -109,6 +120,7 @@
                 None => Duration::from_millis(6),
             },
             evacuation: read_evacuation(top.optional("evacuation"))?,
+            admission: read_admission(top.optional("admission"))?,
             memory_mb: read_number(top.optional("memory-mb"), MEMORY_MB)?,
             descriptors: read_number(top.optional("descriptors"), DESCRIPTORS)?,
         };
@@ -148,6 +160,13 @@
     field.map_or(Ok(false), |field| field.choice(&[("true", true), ("false", false)]))
 }
 
+fn read_admission(field: Option<Field<'_>>) -> Result<EdgeAdmission, ConfigError> {
+    match field {
+        Some(field) => field.choice(&[("by-cost", EdgeAdmission::ByCost)]),
+        None => Ok(EdgeAdmission::All),
+    }
+}
+
 fn read_number(
     field: Option<Field<'_>>,
     range: RangeInclusive<u32>,
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -11,9 +11,11 @@
 
 use bytes::Bytes;
 use galenaloft_adapter::searcher;
+use galenaloft_config::edge::EdgeAdmission;
 use galenaloft_config::edge::EdgeSettings;
 use galenaloft_http::Limits;
 use galenaloft_http::max_caller_connections;
+use galenaloft_policy::admission::by_cost::HostAdmission;
 use galenaloft_policy::directory::Change;
 use galenaloft_policy::directory::RevisionedChange;
 use galenaloft_policy::evacuation::Evacuations;
@@ -96,6 +98,8 @@
     pub quarantine: Mutex<Quarantine>,
     /// Evacuated zones; none while the setting is off.
     pub(crate) evacuations: Mutex<Evacuations>,
+    /// Admission of requests while capacity is insufficient; `None` if all are admitted.
+    pub admission: Option<Mutex<HostAdmission>>,
     /// Counters and latency histograms.
     pub metrics: Metrics,
     /// Current configuration; `None` until one is read.
@@ -136,6 +140,10 @@
             relays: Relays::default(),
             known_searchers: Mutex::default(),
             fleet: Fleet::new(settings.zone.clone()),
+            admission: match settings.admission {
+                EdgeAdmission::All => None,
+                EdgeAdmission::ByCost => Some(Mutex::default()),
+            },
             settings,
             quarantine: Mutex::default(),
             evacuations: Mutex::default(),
@@ -319,6 +327,17 @@
         }
     }
 
+    /// Sets the gauges of the admitted shares.
+    pub fn record_admitted_shares(&self) {
+        let Some(admission) = &self.admission else {
+            return;
+        };
+        let shares = lock(admission).shares(now());
+        for (searchers, rank, route, share) in shares {
+            self.metrics.admitted_share(&searchers, &route, rank, share);
+        }
+    }
+
     /// Returns whether changes of the store are read, by this host or by others that pass them on.
     fn knows_current_store(&self, now: Instant) -> bool {
         let known = lock(&self.known_searchers);
--- a/crates/edge/src/query/routed_request.rs
+++ b/crates/edge/src/query/routed_request.rs
@@ -25,9 +25,14 @@
     pub arrived_at: Instant,
     /// Latest time for an answer: the caller's deadline, bounded by the timeout of the route.
     pub deadline: Instant,
+    /// Latest time at which the parts have to be here for an answer that meets the objective.
+    pub objective: Instant,
     /// Whether a searcher crashed while it ran the request. Such a request is sent to one searcher
     /// at a time.
     pub crash_suspect: bool,
+    /// Searchers of the index that is queried, named by the least of its shards. `None` for a
+    /// request to one service.
+    pub index: Option<ServiceId>,
 }
 
 impl RoutedRequest {
@@ -40,7 +45,9 @@
     ) -> Self {
         let timeout = inbound.patience.unwrap_or(route.timeout).min(route.timeout);
         let deadline = arrived_at + timeout;
-        Self { inbound, route, config, arrived_at, deadline, crash_suspect: false }
+        let objective = arrived_at + route.target_latency;
+        let (crash_suspect, index) = (false, None);
+        Self { inbound, route, config, arrived_at, deadline, objective, crash_suspect, index }
     }
 
     /// Records that the request would be sent to each of these services if their searchers had no
--- a/crates/edge/src/query/service.rs
+++ b/crates/edge/src/query/service.rs
@@ -11,6 +11,8 @@
 
 use crate::host::Host;
 use crate::query::RoutedRequest;
+use crate::query::admission;
+use crate::query::admission::Decision;
 use crate::query::shard::ShardFailure;
 use crate::query::shard::ShardQuery;
 
@@ -24,6 +26,9 @@
     request: &Arc<RoutedRequest>,
     service: &ServiceId,
 ) -> Answer {
+    if let Decision::Refused(after) = admission::admit_single(host, request, service, now()) {
+        return Answer::Refused(after);
+    }
     let finished = Arc::new(AtomicBool::new(false));
     let mut query = ShardQuery::new(host, request, service, &finished);
     request.record_demand(host, [service], now());
@@ -36,7 +41,9 @@
         Err(_) if !query.may_have_run() => {
             let now = now();
             let opens_at = host.fleet.service(service).opens_at(now);
-            Answer::Refused(opens_at.map_or(CALLER_RETRY_DELAY, |at| at - now))
+            let retry_delay = admission::retry_delay(host, request, service, now);
+            let retry_delay = retry_delay.unwrap_or(CALLER_RETRY_DELAY);
+            Answer::Refused(opens_at.map_or(retry_delay, |at| at - now))
         }
         Err(ShardFailure::Expired) => Answer::TimedOut,
         Err(ShardFailure::AttemptFailed(failure)) => Answer::Lost(failure.reason),
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -13,11 +13,15 @@
 use futures::stream::FuturesUnordered;
 use futures::stream::StreamExt;
 use galenaloft_adapter::searcher::SearcherAnswer;
+use galenaloft_config::edge::EdgeAdmission;
+use galenaloft_policy::admission::Draw;
+use galenaloft_policy::admission::by_cost::PartOutcome;
 use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::routing::ConnectionShare;
 use galenaloft_policy::routing::ExpectedQueue;
 use galenaloft_policy::routing::ExtraRequestShare;
+use galenaloft_policy::routing::Urgency;
 use galenaloft_policy::routing::is_hedge_useful;
 use galenaloft_policy::verdict::Verdict;
 use galenaloft_runtime::clock::now;
@@ -27,12 +31,14 @@
 
 use crate::host::Host;
 use crate::query::RoutedRequest;
+use crate::query::admission;
 use crate::query::attempt;
 use crate::query::attempt::Attempt;
 use crate::query::attempt::AttemptFailure;
 use crate::searchers::Candidates;
 use crate::searchers::Choice;
 use crate::searchers::Lease;
+use crate::searchers::OutstandingBound;
 use crate::searchers::Searcher;
 use crate::searchers::Service;
 use crate::searchers::ZoneScope;
@@ -55,6 +61,10 @@
 /// objective divided by this has passed. A later answer would hardly meet the objective.
 const CLOSED_WAIT_DIVISOR: u32 = 4;
 
+/// Longest wait of a request that has its turn by urgency before the searchers are checked again. Many
+/// requests may wait, and each is woken when it is next.
+const TURN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Longest wait for a free connection before the searchers are checked again.
 const CONNECTION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -97,6 +107,11 @@
     charged_as_extra: bool,
     /// Set when the caller's request has ended, so that further attempts are of no use.
     finished: Arc<AtomicBool>,
+    /// When the request began to wait for a searcher; `None` before, and once its outcome was
+    /// recorded.
+    waiting_since: Option<Instant>,
+    /// Whether it waited on this host because no searcher had room.
+    waited_for_room: bool,
 }
 
 impl ShardQuery {
@@ -120,6 +135,8 @@
             may_have_run: false,
             charged_as_extra: false,
             finished: finished.clone(),
+            waiting_since: None,
+            waited_for_room: false,
         }
     }
 
@@ -171,6 +188,7 @@
         if !self.charged_as_extra {
             lock(&self.service.budget).record_first(&self.extra_share(), now());
         }
+        self.waiting_since = Some(now());
         // Returned if no answer is accepted: the last answer, else the first failure.
         let mut fallback: Option<Result<SearcherAnswer, ShardFailure>> = None;
         loop {
@@ -187,6 +205,7 @@
                 biased;
                 Some(result) = self.running.next() => match result {
                     Ok(answer) if accept(&answer) => {
+                        self.record_outcome(PartOutcome::Answered);
                         self.finish_in_background();
                         return Ok(answer);
                     }
@@ -195,6 +214,10 @@
                         fallback = Some(Ok(answer));
                     }
                     Err(failure) => {
+                        if self.running.is_empty() && failure.verdict != Verdict::NotRun {
+                            // The searcher failed, which is no lack of capacity.
+                            self.waiting_since = None;
+                        }
                         if failure.verdict != Verdict::NotRun {
                             self.may_have_run = true;
                             if !self.request.route.idempotent {
@@ -232,10 +255,28 @@
         lock(&self.tried).len() < max_attempts
     }
 
+    fn admits_retries(&self) -> bool {
+        admission::allows_retries(&self.host, &self.request, &self.service_id, now())
+    }
+
+    /// Records the outcome of the request for the admission of later ones, once.
+    fn record_outcome(&mut self, outcome: PartOutcome) {
+        if let Some(since) = self.waiting_since.take() {
+            let (host, service, now) = (&self.host, &self.service_id, now());
+            if self.waited_for_room && now > self.request.objective {
+                // The requests at the front of the queue hardly wait, so that the mean wait shows
+                // little of the lack of room that made this one late.
+                let late = PartOutcome::Rejected;
+                admission::record_outcome(host, &self.request, service, late, since, now);
+            }
+            admission::record_outcome(host, &self.request, service, outcome, since, now);
+        }
+    }
+
     /// Starts the first attempt, or a retry after all earlier ones have failed. Waits while no
     /// searcher has a free connection, and for a short time while none takes requests.
     async fn start_attempt(&mut self, is_retry: bool) -> Result<(), ShardFailure> {
-        if is_retry && !self.has_attempts_left() {
+        if is_retry && !(self.has_attempts_left() && self.admits_retries()) {
             return Err(ShardFailure::NoSearcher);
         }
         let mut charged = false;
@@ -264,14 +305,25 @@
                     }
                     tokio::task::yield_now().await;
                 }
+                // What a searcher states that it takes is no sign of its queue.
                 Choice::Closed(opens_at) if opens_at <= self.closed_wait_end() => {
                     sleep_until(opens_at).await;
+                    self.waiting_since = Some(opens_at);
+                }
+                Choice::Closed(_) | Choice::NoSearcher => {
+                    self.waiting_since = None;
+                    return Err(ShardFailure::NoSearcher);
                 }
-                Choice::Closed(_) | Choice::NoSearcher => return Err(ShardFailure::NoSearcher),
                 Choice::AllAtLimit => {
-                    let check_at = (now + CONNECTION_CHECK_INTERVAL).min(self.request.deadline);
+                    let interval = match self.orders_by_cost() {
+                        true => TURN_CHECK_INTERVAL,
+                        false => CONNECTION_CHECK_INTERVAL,
+                    };
+                    let check_at = (now + interval).min(self.request.deadline);
+                    self.waited_for_room |= self.orders_by_cost();
+                    let waiter = self.service.waiting.join(self.urgency());
                     tokio::select! {
-                        () = self.service.connection_freed.notified() => {}
+                        () = waiter.turn() => {}
                         () = sleep_until(check_at) => {}
                     }
                 }
@@ -286,6 +338,9 @@
             return;
         }
         let now = now();
+        if !admission::allows_hedges(&self.host, &self.request, &self.service_id, now) {
+            return;
+        }
         if !lock(&self.service.budget).allows(&self.extra_share(), RETRY_RESERVE, now) {
             return;
         }
@@ -346,7 +401,29 @@
         let share = self.connection_share();
         let tried = lock(&self.tried);
         let candidates = Candidates { allowed: &self.allowed, tried: &tried, zone_scope };
-        self.service.choose(&self.request.route, prior, candidates, share, now)
+        let bound = match self.orders_by_cost() {
+            true => OutstandingBound::Shared(self.host.sharing_hosts(), share),
+            false => OutstandingBound::None,
+        };
+        self.service.choose(&self.request.route, prior, candidates, share, bound, now)
+    }
+
+    /// Returns whether requests wait on this host in the order of their urgency, so that the searchers'
+    /// queues stay short.
+    fn orders_by_cost(&self) -> bool {
+        self.host.settings.admission == EdgeAdmission::ByCost
+    }
+
+    /// Returns what decides this request's place among those that wait for the same searchers, or `None`
+    /// if they take turns.
+    fn urgency(&self) -> Option<Urgency> {
+        if !self.orders_by_cost() {
+            return None;
+        }
+        let route = &self.request.route;
+        let work = Duration::from_secs_f64(self.host.latency_estimate(route).median());
+        let draw = Draw::from_request_id(&self.request.inbound.id);
+        Some(Urgency { rank: route.rank, due: self.request.objective, work, draw })
     }
 
     /// Returns this host's share of the connections to each searcher of the service.
@@ -411,3 +488,9 @@
         }
     }
 }
+
+impl Drop for ShardQuery {
+    fn drop(&mut self) {
+        self.record_outcome(PartOutcome::Abandoned);
+    }
+}
--- a/crates/telemetry/src/metrics/recorder.rs
+++ b/crates/telemetry/src/metrics/recorder.rs
@@ -48,6 +48,8 @@
     outcomes: Counter<u64>,
     invalid_notices: Counter<u64>,
     evacuated_zones: Gauge<u64>,
+    refusals: Counter<u64>,
+    admitted_shares: Gauge<f64>,
     bodies_refused: Counter<u64>,
     connections_closed: Counter<u64>,
     meter: Meter,
@@ -79,6 +81,8 @@
             outcomes: meter.u64_counter("galenaloft_requests").build(),
             invalid_notices: meter.u64_counter("galenaloft_invalid_notices").build(),
             evacuated_zones: meter.u64_gauge("galenaloft_evacuated_zones").build(),
+            refusals: meter.u64_counter("galenaloft_refusals").build(),
+            admitted_shares: meter.f64_gauge("galenaloft_admitted_share").build(),
             bodies_refused: meter.u64_counter("galenaloft_bodies_refused").build(),
             connections_closed: meter.u64_counter("galenaloft_connections_closed").build(),
             meter,
@@ -133,6 +137,22 @@
         self.evacuated_zones.record(count as u64, &[]);
     }
 
+    /// Sets the admitted share of the requests of a route.
+    pub fn admitted_share(&self, searchers: &str, route: &str, rank: u8, share: f64) {
+        let labels = [
+            KeyValue::new("searchers", searchers.to_owned()),
+            KeyValue::new("route", route.to_owned()),
+            KeyValue::new("rank", i64::from(rank)),
+        ];
+        self.admitted_shares.record(share, &labels);
+    }
+
+    /// Counts a request that was refused for a reason.
+    pub fn refused(&self, reason: &'static str, rank: u8) {
+        let labels = [KeyValue::new("reason", reason), KeyValue::new("rank", i64::from(rank))];
+        self.refusals.add(1, &labels);
+    }
+
     /// Counts a caller's body that was refused, by reason.
     pub fn body_refused(&self, reason: &'static str) {
         self.bodies_refused.add(1, &[KeyValue::new("reason", reason)]);
