Bound outstanding requests only where aggregators query the searchers

Change: the bound and the order of waiting requests hold for services that accept fewer connections than there are hosts. The others are bounded by their connections, as before.

--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -402,16 +402,21 @@
         let tried = lock(&self.tried);
         let candidates = Candidates { allowed: &self.allowed, tried: &tried, zone_scope };
         let bound = match self.orders_by_cost() {
-            true => OutstandingBound::Shared(self.host.sharing_hosts(), share),
+            true => {
+                let aggregators_in_zone = self.host.sharing_hosts().aggregators_in_zone;
+                OutstandingBound::Shared { aggregators_in_zone }
+            }
             false => OutstandingBound::None,
         };
         self.service.choose(&self.request.route, prior, candidates, share, bound, now)
     }
 
     /// Returns whether requests wait on this host in the order of their urgency, so that the searchers'
-    /// queues stay short.
+    /// queues stay short. Where every host queries every searcher, a bound for each host would leave slots
+    /// unused while the load of the hosts is uneven.
     fn orders_by_cost(&self) -> bool {
         self.host.settings.admission == EdgeAdmission::ByCost
+            && self.connection_share().uses_aggregators()
     }
 
     /// Returns what decides this request's place among those that wait for the same searchers, or `None`
--- a/crates/edge/src/searchers/service.rs
+++ b/crates/edge/src/searchers/service.rs
@@ -9,7 +9,6 @@
 use galenaloft_policy::route::Route;
 use galenaloft_policy::routing::ConnectionShare;
 use galenaloft_policy::routing::ExtraRequestBudget;
-use galenaloft_policy::routing::SharingHosts;
 use galenaloft_policy::routing::max_outstanding;
 use galenaloft_runtime::sync::lock;
 
@@ -60,17 +59,19 @@
 pub enum OutstandingBound {
     /// Only the connections bound them.
     None,
-    /// The hosts divide what each searcher works on at a time.
-    Shared(SharingHosts, ConnectionShare),
+    /// The aggregators divide what each searcher works on at a time.
+    Shared {
+        /// Number of aggregators in the zone of this host.
+        aggregators_in_zone: usize,
+    },
 }
 
 impl OutstandingBound {
     fn allows(self, searcher: &Searcher) -> bool {
-        let Self::Shared(hosts, share) = self else {
+        let Self::Shared { aggregators_in_zone } = self else {
             return true;
         };
-        let (slots, local) = (searcher.entry.slots, searcher.local);
-        let max = max_outstanding(slots, hosts, share.uses_aggregators(), local);
+        let max = max_outstanding(searcher.entry.slots, aggregators_in_zone, searcher.local);
         lock(&searcher.health).outstanding() < max
     }
 }
