Send hedges whatever the bound on outstanding requests

Cause: a hedge was dropped while this host had its part of the bound outstanding at every other searcher, as in the seconds in which some searchers are slow.

--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -290,7 +290,7 @@
             if now >= self.request.deadline {
                 return Err(ShardFailure::Expired);
             }
-            match self.choose_searcher(now) {
+            match self.choose_searcher(self.outstanding_bound(), now) {
                 Choice::Searcher(searcher) => {
                     if is_retry && !charged {
                         charged = self.spend_extra(now);
@@ -344,7 +344,9 @@
         if !lock(&self.service.budget).allows(&self.extra_share(), RETRY_RESERVE, now) {
             return;
         }
-        let Choice::Searcher(searcher) = self.choose_searcher(now) else {
+        // Few hedges are sent, and the admission stops them while capacity is insufficient.
+        let choice = self.choose_searcher(OutstandingBound::None, now);
+        let Choice::Searcher(searcher) = choice else {
             return;
         };
         let attempt_queue = self.last_sent.as_ref().and_then(|sent| self.queue(sent, now));
@@ -392,7 +394,7 @@
     }
 
     /// Chooses the searcher for the next attempt.
-    fn choose_searcher(&self, now: Instant) -> Choice {
+    fn choose_searcher(&self, bound: OutstandingBound, now: Instant) -> Choice {
         let prior = self.host.latency_estimate(&self.request.route).median();
         let zone_scope = match self.host.is_cut_off() {
             true => ZoneScope::OwnZone,
@@ -401,13 +403,6 @@
         let share = self.connection_share();
         let tried = lock(&self.tried);
         let candidates = Candidates { allowed: &self.allowed, tried: &tried, zone_scope };
-        let bound = match self.orders_by_cost() {
-            true => {
-                let aggregators_in_zone = self.host.sharing_hosts().aggregators_in_zone;
-                OutstandingBound::Shared { aggregators_in_zone }
-            }
-            false => OutstandingBound::None,
-        };
         self.service.choose(&self.request.route, prior, candidates, share, bound, now)
     }
 
@@ -419,6 +414,15 @@
             && self.connection_share().uses_aggregators()
     }
 
+    /// Returns the bound on the requests that this host has outstanding at a searcher.
+    fn outstanding_bound(&self) -> OutstandingBound {
+        if !self.orders_by_cost() {
+            return OutstandingBound::None;
+        }
+        let aggregators_in_zone = self.host.sharing_hosts().aggregators_in_zone;
+        OutstandingBound::Shared { aggregators_in_zone }
+    }
+
     /// Returns what decides this request's place among those that wait for the same searchers, or `None`
     /// if they take turns.
     fn urgency(&self) -> Option<Urgency> {
