Leave the memory of an idle galenaloftd out of the callers' part

An idle process has 22 MB, and its threads each keep freed buffers, which a quarter of the whole memory left no room for. Change: callers hold a quarter of what the machine has beyond 24 MB.

--- a/bin/galenaloftd/src/serve.rs
+++ b/bin/galenaloftd/src/serve.rs
@@ -50,6 +50,12 @@
 /// Memory of the machine if the settings do not state it, in MB.
 const DEFAULT_MEMORY_MB: u32 = 1_024;
 
+/// Memory of an idle process with a thread for each core, in MB. Callers hold a part of the rest.
+const IDLE_MEMORY_MB: u32 = 24;
+
+/// Least memory of which callers hold a part, in MB.
+const MIN_MEMORY_MB: u32 = 16;
+
 /// How long the last replies may take to be written after the planned stop.
 const LAST_REPLIES: Duration = Duration::from_secs(1);
 
@@ -69,6 +75,7 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let limits = caller_limits(&settings);
     let memory_mb = settings.limits.memory_mb;
+    let memory_mb = memory_mb.map(|mb| mb.saturating_sub(IDLE_MEMORY_MB).max(MIN_MEMORY_MB));
     let platform = HttpPlatform { address: settings.platform };
     let node = Node::new(settings, Identity::random(), TcpConnector, HttpConnector, platform);
     let (stop, stop_rx) = watch::channel(false);
