--- a/crates/config/src/edge/model.rs
+++ b/crates/config/src/edge/model.rs
@@ -9,6 +9,8 @@
 use galenaloft_policy::ids::ZoneId;
 use galenaloft_policy::routing::ExtraRequestLimit;
 
+use crate::bounds::DESCRIPTORS;
+use crate::bounds::MEMORY_MB;
 use crate::reader::ConfigError;
 use crate::reader::Field;
 use crate::reader::MapReader;
@@ -21,12 +23,6 @@
 /// Most cores, or times the speed of a usual core, that a host may have.
 const MAX_CORES: f64 = 1_024.0;
 
-/// Least and most memory of a machine, in MB. An idle host uses about 7 MB.
-const MEMORY_MB: RangeInclusive<u32> = 16..=1_048_576;
-
-/// Least and most file descriptors of a process.
-const DESCRIPTORS: RangeInclusive<u32> = 64..=1_048_576;
-
 /// Longest time that a setting may have, in seconds.
 const MAX_SECONDS: f64 = 600.0;
 
--- a/crates/config/src/settings/model.rs
+++ b/crates/config/src/settings/model.rs
@@ -1,25 +1,20 @@
 //! The settings and their defaults.
 
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 use std::path::Path;
 use std::time::Duration;
 
 use galenaloft_policy::ids::HostId;
 use galenaloft_policy::ids::ZoneId;
 
+use crate::bounds::DESCRIPTORS;
+use crate::bounds::MEMORY_MB;
 use crate::reader::ConfigError;
 use crate::reader::Field;
 use crate::reader::MapReader;
 use crate::reader::parse;
 use crate::reader::read_file;
 
-/// Least and most memory of a machine, in MB.
-const MEMORY_MB: RangeInclusive<u32> = 16..=1_048_576;
-
-/// Least and most file descriptors of a process.
-const DESCRIPTORS: RangeInclusive<u32> = 64..=1_048_576;
-
 /// Longest time that a limit may be set to.
 const MAX_TIMEOUT: Duration = Duration::from_secs(600);
 
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -79,10 +79,7 @@
             let share = ConnectionShare::new(spec.max_connections as usize, host.sharing_hosts());
             for searcher in service.searchers() {
                 searcher.close_expired(now());
-                if !share.keeps_connections() {
-                    searcher.close_idle();
-                }
-                if searcher.is_evacuated() {
+                if !share.keeps_connections() || searcher.is_evacuated() {
                     searcher.close_idle();
                 }
                 if !searcher.is_permitted() {
--- a/crates/edge/src/query/admission.rs
+++ b/crates/edge/src/query/admission.rs
@@ -189,8 +189,7 @@
     now: Instant,
 ) {
     with(host, |admission| {
-        let searchers = request.index.as_ref().unwrap_or(service);
-        let controller = admission.controller(searchers, now);
+        let controller = admission.controller(searchers_of(request, service), now);
         controller.record_outcome(&request.route.name, outcome, started_at, now);
     });
 }
@@ -202,8 +201,12 @@
     service: &ServiceId,
     now: Instant,
 ) -> bool {
-    let searchers = request.index.as_ref().unwrap_or(service);
-    with(host, |admission| !admission.controller(searchers, now).is_limited(now)).unwrap_or(true)
+    !is_limited(host, searchers_of(request, service), now)
+}
+
+/// Returns whether some of the work for a group of searchers is refused.
+pub fn is_limited(host: &Host, searchers: &ServiceId, now: Instant) -> bool {
+    with(host, |admission| admission.controller(searchers, now).is_limited(now)).unwrap_or(false)
 }
 
 /// Returns whether a part that failed may be tried again.
@@ -213,12 +216,17 @@
     service: &ServiceId,
     now: Instant,
 ) -> bool {
-    let searchers = request.index.as_ref().unwrap_or(service);
-    let route = &request.route.name;
+    let (searchers, route) = (searchers_of(request, service), &request.route.name);
     with(host, |admission| admission.controller(searchers, now).allows_retries(route, now))
         .unwrap_or(true)
 }
 
+/// Returns the group of searchers that a part for `service` goes to: the index of its query, or else the
+/// service.
+fn searchers_of<'a>(request: &'a RoutedRequest, service: &'a ServiceId) -> &'a ServiceId {
+    request.index.as_ref().unwrap_or(service)
+}
+
 fn with<T>(host: &Host, f: impl FnOnce(&mut HostAdmission) -> T) -> Option<T> {
     host.admission.as_ref().map(|admission| f(&mut lock(admission)))
 }
--- a/crates/edge/src/query/gather.rs
+++ b/crates/edge/src/query/gather.rs
@@ -573,8 +573,9 @@
     if host.is_cut_off() && host.count_own_zone_shards(gather) < min_parts {
         return Answer::Refused(CALLER_RETRY_DELAY);
     }
+    let has_evacuated_zones = host.fleet.has_evacuated_zones();
     // Before anything is sent: the other shards' work would be of no use.
-    if host.fleet.has_evacuated_zones() && count_permitted_shards(host, gather) < min_parts {
+    if has_evacuated_zones && count_permitted_shards(host, gather) < min_parts {
         return Answer::Refused(CALLER_RETRY_DELAY);
     }
     let started_at = now();
@@ -582,7 +583,6 @@
     let direct = group::direct_shards(gather, &groups);
     let direct_services = direct.iter().map(|index| &gather.shards[*index]);
     request.record_demand(host, direct_services.clone(), started_at);
-    let has_evacuated_zones = host.fleet.has_evacuated_zones();
     let access = direct_services
         .map(|shard| host.fleet.service(shard))
         .filter(|service| !has_evacuated_zones || service.has_permitted_searcher())
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -307,9 +307,11 @@
     let half = gather.shards.len().div_ceil(2);
     // While capacity is insufficient, missing shards are not asked again, so that parts below the
     // floor are of no use.
-    let floor = match admission::report(host, request.index.as_ref(), arrived_at).is_empty() {
-        true => half,
-        false => half.max(query.min_parts),
+    let searchers = request.index.as_ref();
+    let floor = match searchers.is_some_and(|index| admission::is_limited(host, index, arrived_at))
+    {
+        true => half.max(query.min_parts),
+        false => half,
     };
     scatter_gather.collect(&wait_policy, floor).await;
     let shares = admission::report(host, request.index.as_ref(), now());
--- a/crates/http/src/budget.rs
+++ b/crates/http/src/budget.rs
@@ -373,7 +373,7 @@
     /// long as one may be under way.
     pub(crate) async fn wait_for_next(&self) {
         let started = self.started.load(Ordering::Relaxed);
-        if started > self.ended.load(Ordering::Relaxed) {
+        if self.is_request_in_progress() {
             return;
         }
         let limit = if started == 0 { FIRST_REQUEST_WAIT } else { NEXT_REQUEST_WAIT };
--- a/crates/policy/src/admission/by_cost/shares.rs
+++ b/crates/policy/src/admission/by_cost/shares.rs
@@ -1,6 +1,5 @@
 //! Distribution of capacity over classes of work, and the shares that hosts report to each other.
 
-use std::cmp::Reverse;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -101,15 +100,13 @@
     (share * REPORT_GROWTH.powf(intervals)).min(1.0)
 }
 
-/// Keys by which operators see the shares: the least urgent rank first.
+/// Returns the shares of the classes whose work is not all admitted.
 pub(super) fn report(classes: &[Class]) -> Vec<RouteShares> {
-    let mut limited: Vec<&Class> =
-        classes.iter().filter(|class| class.shares.iter().any(|share| *share < 1.0)).collect();
-    limited.sort_by_key(|class| Reverse(class.rank));
-    let shares = |class: &&Class| RouteShares {
+    let limited = classes.iter().filter(|class| class.shares.iter().any(|share| *share < 1.0));
+    let shares = |class: &Class| RouteShares {
         route: class.route.clone(),
         timely: class.shares[Lane::Timely as usize],
         late: class.shares[Lane::Late as usize],
     };
-    limited.iter().map(shares).collect()
+    limited.map(shares).collect()
 }
--- a/crates/policy/src/memory/budget.rs
+++ b/crates/policy/src/memory/budget.rs
@@ -210,10 +210,7 @@
         now: Instant,
     ) -> Result<(), Duration> {
         let size = if declared <= SMALL_BODY { Size::Small } else { Size::Large };
-        match self.find_room(id, declared, size, now) {
-            Ok(_) => Ok(()),
-            Err(retry_after) => Err(retry_after),
-        }
+        self.find_room(id, declared, size, now).map(drop)
     }
 
     /// Records that bytes of a transfer arrived, or were read by the caller.
