--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -454,18 +454,17 @@
         while True:
             await asyncio.sleep(0.02)
             if host.process.poll() is not None:
-                raise CannotRun(f"{host.name} ended")
-            used = host.memory_mb()
-            self.most[host.name] = max(self.most[host.name], used)
-            if used <= self.limit_mb:
-                continue
+                why = f"ended by itself with status {host.process.returncode}"
+            else:
+                used = host.memory_mb()
+                self.most[host.name] = max(self.most[host.name], used)
+                if used <= self.limit_mb:
+                    continue
+                why = f"used {used:.0f} MB of {self.limit_mb} and is ended"
+                host.signal(signal.SIGKILL)
+                host.process.wait()
             self.ends[host.name] += 1
-            host.signal(signal.SIGKILL)
-            host.process.wait()
-            self.record.say(
-                f"{host.name} used {used:.0f} MB of {self.limit_mb} and is ended, "
-                f"for the {self.ends[host.name]}. time"
-            )
+            self.record.say(f"{host.name} {why}, for the {self.ends[host.name]}. time")
             await asyncio.sleep(self.down_s)
             host.start()
 
