--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -351,6 +351,44 @@
         raise CannotRun(f"{self.name} is not ready")
 
 
+class KeptConnection:
+    """A caller's connection that is kept for many requests, and opened anew once it is lost."""
+
+    def __init__(self, address):
+        self.address = address
+        self.reader = self.writer = None
+        self.answered = 0
+
+    async def request(self, method, path, headers, body=b"", limit_s=5.0):
+        """Returns the status, or None if the connection was closed without a whole answer, and whether
+        the connection had carried an earlier request."""
+        kept = self.writer is not None and self.answered > 0
+        try:
+            return await asyncio.wait_for(self.exchange(method, path, headers, body), limit_s), kept
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            self.close()
+            return None, kept
+
+    async def exchange(self, method, path, headers, body):
+        if self.writer is None:
+            self.reader, self.writer = await asyncio.open_connection(*self.address, limit=1 << 22)
+            self.answered = 0
+        head = f"{method} {path} HTTP/1.1\r\n"
+        head += "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        self.writer.write(head.encode() + f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        line, answer = await read_head(self.reader)
+        await read_body(self.reader, answer)
+        self.answered += 1
+        if answer.get("connection") == "close":
+            self.close()
+        return int(line.split(" ")[1])
+
+    def close(self):
+        if self.writer:
+            self.writer.close()
+        self.writer = None
+
+
 async def call(address, method, path, headers, body=b"", limit_s=5.0):
     """Sends one request on a new connection; returns status, headers and body of the answer."""
 
