Log who saw a searcher crash, and count the requests suspected of it

Cause: the log line of a crash did not say whether the host saw it itself or was told, so that a host that lacks what its peers know could not be told from one that forgot it, or that computes another fingerprint. Change: searcher_crashed names its reporter; the gauge galenaloft_suspected_requests counts the requests that are suspected and refused.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -21,6 +21,7 @@
 use galenaloft_policy::evacuation::Evacuations;
 use galenaloft_policy::ids::Capacity;
 use galenaloft_policy::ids::ConfigVersion;
+use galenaloft_policy::ids::HostId;
 use galenaloft_policy::ids::RouteName;
 use galenaloft_policy::ids::ServiceId;
 use galenaloft_policy::ids::StoreRevision;
@@ -239,11 +240,12 @@
     }
 
     /// Records that a searcher crashed while it ran a request, and logs the crash if it is new.
-    /// Returns whether it is.
-    pub fn record_crash(&self, crash: Crash, now: Instant) -> bool {
+    /// `reporter` is the host that saw it, or `None` for this one. Returns whether it is new.
+    pub fn record_crash(&self, crash: Crash, reporter: Option<&HostId>, now: Instant) -> bool {
         let event = Event::new("searcher_crashed")
             .with("searcher", &crash.searcher)
-            .with("fingerprint", format!("{:016x}", crash.fingerprint));
+            .with("fingerprint", format!("{:016x}", crash.fingerprint))
+            .with("reporter", reporter.unwrap_or(&self.settings.host));
         let is_new = lock(&self.quarantine).record_crash(crash, now);
         if is_new {
             event.warn();
@@ -338,6 +340,12 @@
         }
     }
 
+    /// Sets the gauges of the requests that may crash searchers.
+    pub fn record_suspected_requests(&self) {
+        let (suspected, quarantined) = lock(&self.quarantine).counts(now());
+        self.metrics.suspected_requests(suspected, quarantined);
+    }
+
     /// Returns whether changes of the store are read, by this host or by others that pass them on.
     fn knows_current_store(&self, now: Instant) -> bool {
         let known = lock(&self.known_searchers);
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -153,7 +153,7 @@
         }
         Purpose::Report(report) => {
             let is_new = match &report {
-                Report::Crash(crash) => host.record_crash(crash.clone(), now()),
+                Report::Crash(crash) => host.record_crash(crash.clone(), sender_id.as_ref(), now()),
                 Report::Leaving(run) => host.fleet.record_leaving(run),
             };
             let from_other_zone = zone.as_ref() != Some(&host.settings.zone);
--- a/crates/edge/src/query/crash_check.rs
+++ b/crates/edge/src/query/crash_check.rs
@@ -44,7 +44,7 @@
             fingerprint: fingerprint(inbound.method.as_str(), &inbound.host, &path, &inbound.body),
             searcher: searcher.entry.id.clone(),
         };
-        if host.record_crash(crash.clone(), now()) {
+        if host.record_crash(crash.clone(), None, now()) {
             host.peers.publish(Report::Crash(crash));
         }
     });
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -116,6 +116,7 @@
     let server = Server::plain(listener, MONITORING_LIMITS);
     let answer = move |_| {
         host.record_admitted_shares();
+        host.record_suspected_requests();
         let page = host.metrics.encode();
         async move { text(StatusCode::OK, page) }
     };
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -102,6 +102,15 @@
         }
     }
 
+    /// Counts the suspected requests, quarantined ones not included, and the quarantined ones.
+    pub fn counts(&self, now: Instant) -> (usize, usize) {
+        let count = |status| {
+            let has_status = |fingerprint: &&Fingerprint| self.status(**fingerprint, now) == status;
+            self.suspects.keys().filter(has_status).count()
+        };
+        (count(QuarantineStatus::Suspected), count(QuarantineStatus::Quarantined))
+    }
+
     fn drop_expired(&mut self, now: Instant) {
         let is_recent =
             |suspect: &Suspect| now.saturating_duration_since(suspect.last_crash) < SUSPICION_TTL;
--- a/crates/policy/src/quarantine/tests.rs
+++ b/crates/policy/src/quarantine/tests.rs
@@ -19,6 +19,8 @@
     quarantine.record_crash(crash(1, "c"), now);
     assert_eq!(quarantine.status(1, now), QuarantineStatus::Quarantined);
     assert_eq!(quarantine.status(2, now), QuarantineStatus::Clear);
+    quarantine.record_crash(crash(3, "a"), now);
+    assert_eq!(quarantine.counts(now), (1, 1));
     assert_eq!(quarantine.status(1, now + Duration::from_secs(600)), QuarantineStatus::Clear);
 }
 
--- a/crates/telemetry/src/metrics/recorder.rs
+++ b/crates/telemetry/src/metrics/recorder.rs
@@ -48,6 +48,7 @@
     outcomes: Counter<u64>,
     invalid_notices: Counter<u64>,
     evacuated_zones: Gauge<u64>,
+    suspected_requests: Gauge<u64>,
     refusals: Counter<u64>,
     admitted_shares: Gauge<f64>,
     bodies_refused: Counter<u64>,
@@ -81,6 +82,7 @@
             outcomes: meter.u64_counter("galenaloft_requests").build(),
             invalid_notices: meter.u64_counter("galenaloft_invalid_notices").build(),
             evacuated_zones: meter.u64_gauge("galenaloft_evacuated_zones").build(),
+            suspected_requests: meter.u64_gauge("galenaloft_suspected_requests").build(),
             refusals: meter.u64_counter("galenaloft_refusals").build(),
             admitted_shares: meter.f64_gauge("galenaloft_admitted_share").build(),
             bodies_refused: meter.u64_counter("galenaloft_bodies_refused").build(),
@@ -137,6 +139,13 @@
         self.evacuated_zones.record(count as u64, &[]);
     }
 
+    /// Sets how many requests are suspected of crashing searchers, and how many are refused for it.
+    pub fn suspected_requests(&self, suspected: usize, quarantined: usize) {
+        for (state, count) in [("suspected", suspected), ("quarantined", quarantined)] {
+            self.suspected_requests.record(count as u64, &[KeyValue::new("state", state)]);
+        }
+    }
+
     /// Sets the admitted share of the requests of a route.
     pub fn admitted_share(&self, searchers: &str, route: &str, rank: u8, share: f64) {
         let labels = [
