Ask a peer for the store's content on a new connection after a failed call

Callers saw: a host that lost its revision while it could not read the store got no list from a peer whose connection had been closed before (restarted, cut off), and stayed without one for as long as nothing else used that connection. Cause: fetch_store_view kept the client of a closed connection unless the call timed out. Change: all questions to a peer, queries over groups aside, go through one function that forgets the client of a call that failed. Test: peer_whose_connection_was_closed_is_asked_on_a_new_one; failed before (None instead of revision 7).

--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -17,6 +17,7 @@
 use galenaloft_runtime::clock::now;
 use galenaloft_runtime::sync::lock;
 use tarpc::client::Config;
+use tarpc::client::RpcError;
 use tarpc::context;
 use tarpc::context::Context;
 use tarpc::serde_transport::Transport;
@@ -156,17 +157,7 @@
         address: SocketAddr,
         limit: Duration,
     ) -> Option<StoreView> {
-        let request = async {
-            let client = self.client(address).await.ok()?;
-            client.knowledge(long_deadline()).await.ok()?
-        };
-        match timeout(limit, request).await {
-            Ok(view) => view,
-            Err(_) => {
-                lock(&self.clients).remove(&address);
-                None
-            }
-        }
+        self.ask(address, limit, async |client| client.knowledge(long_deadline()).await).await?
     }
 
     /// Requests a peer's configuration if it is newer than `version`. Returns `None` if it is not, or
@@ -177,17 +168,26 @@
         version: ConfigVersion,
         limit: Duration,
     ) -> Option<Configuration> {
-        let request = async {
-            let client = self.client(address).await.ok()?;
-            client.newer_configuration(long_deadline(), version).await.ok()
+        let call = async |client: EdgePeerClient| {
+            client.newer_configuration(long_deadline(), version).await
         };
-        match timeout(limit, request).await {
-            Ok(Some(config)) => config,
-            Ok(None) | Err(_) => {
-                lock(&self.clients).remove(&address);
-                None
-            }
+        self.ask(address, limit, call).await?
+    }
+
+    /// Calls a peer. Returns `None` if it fails to answer within `limit`; the next call to it opens a
+    /// new connection.
+    async fn ask<T>(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+        call: impl AsyncFnOnce(EdgePeerClient) -> Result<T, RpcError>,
+    ) -> Option<T> {
+        let request = async { call(self.client(address).await.ok()?).await.ok() };
+        let reply = timeout(limit, request).await.ok().flatten();
+        if reply.is_none() {
+            lock(&self.clients).remove(&address);
         }
+        reply
     }
 
     /// Returns the client for the peer at an address, connected first if there is none yet.
@@ -245,3 +245,6 @@
     cx.deadline = Instant::now() + RPC_DEADLINE;
     cx
 }
+
+#[cfg(test)]
+mod tests;
