--- a/bin/galenaloft-edge/tests/edge/main.rs
+++ b/bin/galenaloft-edge/tests/edge/main.rs
@@ -6,4 +6,5 @@
 mod hosts;
 mod load;
 mod notices;
+mod quarantine;
 mod serving;
--- a/crates/edge/src/api.rs
+++ b/crates/edge/src/api.rs
@@ -9,10 +9,8 @@
 use galenaloft_adapter::caller::CallerRequest;
 use galenaloft_http::Reply;
 use galenaloft_policy::quarantine::QuarantineStatus;
-use galenaloft_policy::quarantine::fingerprint;
 use galenaloft_policy::route::Target;
 use galenaloft_runtime::clock::now;
-use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 use hyper::Request;
 
@@ -59,7 +57,7 @@
         return Answer::NoRoute.encode(host.closes_connections());
     };
     let mut request = RoutedRequest::new(inbound, route, config, arrived_at);
-    match quarantine_status(&host, &request) {
+    match request.quarantine_status(&host, arrived_at) {
         QuarantineStatus::Clear => {}
         QuarantineStatus::Suspected => request.crash_suspect = true,
         QuarantineStatus::Quarantined => {
@@ -83,18 +81,6 @@
     answer.encode(host.closes_connections())
 }
 
-/// Returns how to treat a request, given the searchers that crashed while they ran it.
-fn quarantine_status(host: &Host, request: &RoutedRequest) -> QuarantineStatus {
-    let quarantine = lock(&host.quarantine);
-    if quarantine.is_empty() {
-        return QuarantineStatus::Clear;
-    }
-    let inbound = &request.inbound;
-    let path = inbound.uri.to_string();
-    let fingerprint = fingerprint(inbound.method.as_str(), &inbound.host, &path, &inbound.body);
-    quarantine.status(fingerprint, request.arrived_at)
-}
-
 /// Counts the answer to a routed request in the metrics, and logs it unless it is complete and
 /// successful. Requests that are answered before they reach a target are not counted.
 fn record_answer(host: &Host, request: &RoutedRequest, answer: &Answer) {
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -241,7 +241,7 @@
 
     /// Records that a searcher crashed while it ran a request, and logs the crash if it is new.
     /// `reporter` is the host that saw it, or `None` for this one. Returns whether it is new.
-    pub fn record_crash(&self, crash: Crash, reporter: Option<&HostId>, now: Instant) -> bool {
+    pub fn record_crash(&self, crash: &Crash, reporter: Option<&HostId>, now: Instant) -> bool {
         let event = Event::new("searcher_crashed")
             .with("searcher", &crash.searcher)
             .with("fingerprint", format!("{:016x}", crash.fingerprint))
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -16,6 +16,7 @@
 use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
@@ -26,6 +27,8 @@
 use crate::peers::messages::Datagram;
 use crate::peers::messages::Purpose;
 use crate::peers::messages::Report;
+use crate::peers::suspects;
+use crate::peers::suspects::CrashNotice;
 use crate::store::PeerNotice;
 
 /// Time between two probe rounds, in each of which one peer is probed.
@@ -47,6 +50,12 @@
 /// Most facts in one datagram, so that it takes only a few packets of the usual size.
 const MAX_FACTS: usize = 32;
 
+/// Where notices of other hosts are sent that a task of their own deals with.
+struct NoticeSenders {
+    store: UnboundedSender<PeerNotice>,
+    crashes: mpsc::Sender<CrashNotice>,
+}
+
 /// Exchanges datagrams with the other hosts for as long as the process runs, and sends what they
 /// report about the store to `notices`.
 pub async fn run(host: Arc<Host>, socket: UdpSocket, notices: UnboundedSender<PeerNotice>) {
@@ -54,6 +63,10 @@
     tokio::spawn(probe_peers(host.clone(), socket.clone()));
     tokio::spawn(send_pending(host.clone(), socket.clone()));
     tokio::spawn(limits::exchange(host.clone(), socket.clone()));
+    // Holds one notice: later ones repeat it for as long as the hosts differ.
+    let (crash_notices, crash_notices_rx) = mpsc::channel(1);
+    tokio::spawn(suspects::follow(host.clone(), crash_notices_rx));
+    let notices = NoticeSenders { store: notices, crashes: crash_notices };
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let (size, sender) = match socket.recv_from(&mut buf).await {
@@ -105,7 +118,7 @@
 async fn receive(
     host: &Host,
     socket: &UdpSocket,
-    notices: &UnboundedSender<PeerNotice>,
+    notices: &NoticeSenders,
     datagram: Datagram,
     sender: SocketAddr,
 ) {
@@ -122,7 +135,11 @@
             in_own_zone: zone.as_ref() == Some(&host.settings.zone),
         };
         // The receiver is never dropped: its task runs as long as the process.
-        let _ = notices.send(notice);
+        let _ = notices.store.send(notice);
+    }
+    if lock(&host.quarantine).may_lack(datagram.crashes, now()) {
+        // Fails while an earlier notice is being dealt with.
+        let _ = notices.crashes.try_send(CrashNotice { peer: sender, digest: datagram.crashes });
     }
     match datagram.purpose {
         Purpose::Probe { wants_all } => {
@@ -139,7 +156,7 @@
         }
         Purpose::Reply => {}
         Purpose::StoreUpdate(update) => {
-            let _ = notices.send(PeerNotice::StoreUpdate { update, config: datagram.config });
+            let _ = notices.store.send(PeerNotice::StoreUpdate { update, config: datagram.config });
         }
         Purpose::Limits(reports) => {
             if let Some(host_id) = sender_id {
@@ -153,7 +170,7 @@
         }
         Purpose::Report(report) => {
             let is_new = match &report {
-                Report::Crash(crash) => host.record_crash(crash.clone(), sender_id.as_ref(), now()),
+                Report::Crash(crash) => host.record_crash(crash, sender_id.as_ref(), now()),
                 Report::Leaving(run) => host.fleet.record_leaving(run),
             };
             let from_other_zone = zone.as_ref() != Some(&host.settings.zone);
@@ -281,7 +298,8 @@
     purpose: Purpose,
 ) {
     let zone_hosts = host.peers.own_zone_hosts();
-    let datagram = Datagram { facts, zone_hosts, config: host.config_version(), purpose };
+    let crashes = lock(&host.quarantine).digest(now());
+    let datagram = Datagram { facts, zone_hosts, config: host.config_version(), crashes, purpose };
     let result = match datagram.encode(&host.zone_changes()) {
         Ok(bytes) if bytes.len() > MAX_DATAGRAM_BYTES => {
             Err(io::Error::other("datagram is too large"))
--- a/crates/edge/src/peers/gossip/tests.rs
+++ b/crates/edge/src/peers/gossip/tests.rs
@@ -1,5 +1,6 @@
 use galenaloft_config::edge::EdgeSettings;
 use galenaloft_policy::evacuation::ZoneChange;
+use galenaloft_policy::quarantine::CrashDigest;
 
 use super::*;
 
@@ -25,7 +26,8 @@
         );
         for purpose in [Purpose::Probe { wants_all: false }, Purpose::Reply, Purpose::Ping] {
             let facts = vec![lock(&sender.peers.table).own().clone()];
-            let datagram = Datagram { facts, zone_hosts: 1, config: 0, purpose };
+            let crashes = CrashDigest::default();
+            let datagram = Datagram { facts, zone_hosts: 1, config: 0, crashes, purpose };
             let bytes = datagram.encode(&sender.zone_changes()).unwrap();
             let received = Datagram::decode(&bytes).unwrap();
             for host in [&receiver, &without_setting] {
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -21,6 +21,7 @@
 use galenaloft_policy::notice::LimitReport;
 use galenaloft_policy::notice::WarmupReport;
 use galenaloft_policy::quarantine::Crash;
+use galenaloft_policy::quarantine::CrashDigest;
 use galenaloft_policy::route::Configuration;
 use serde::Deserialize;
 use serde::Serialize;
@@ -34,6 +35,8 @@
     pub zone_hosts: u32,
     /// Version of the newest configuration that the sender has; 0 for none.
     pub config: ConfigVersion,
+    /// Digest of the crashes that the sender knows.
+    pub crashes: CrashDigest,
     /// Why the datagram is sent, and its further content.
     pub purpose: Purpose,
 }
--- a/crates/edge/src/peers/messages/tests.rs
+++ b/crates/edge/src/peers/messages/tests.rs
@@ -84,7 +84,8 @@
 #[test]
 fn changes_of_zones_follow_a_datagram_only_if_there_are_any() {
     let purpose = Purpose::StoreUpdate(update(1, 2..5));
-    let datagram = Datagram { facts: Vec::new(), zone_hosts: 3, config: 7, purpose };
+    let crashes = CrashDigest::default();
+    let datagram = Datagram { facts: Vec::new(), zone_hosts: 3, config: 7, crashes, purpose };
     let plain = bincode::serialize(&datagram).unwrap();
     assert_eq!(datagram.encode(&[]).unwrap(), plain);
     let zones = [
@@ -109,6 +110,7 @@
         state.apply(&ZoneChange { zone, evacuated: true, revision });
     }
     let purpose = Purpose::StoreUpdate(update(1, 2..102));
-    let datagram = Datagram { facts: Vec::new(), zone_hosts: 3, config: 7, purpose };
+    let crashes = CrashDigest::default();
+    let datagram = Datagram { facts: Vec::new(), zone_hosts: 3, config: 7, crashes, purpose };
     assert!(datagram.encode(&state.changes()).unwrap().len() < 20 * 1024);
 }
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -6,6 +6,7 @@
 mod messages;
 mod relay;
 mod service;
+mod suspects;
 
 pub use gossip::run;
 pub use members::Aggregator;
--- a/crates/edge/src/peers/relay.rs
+++ b/crates/edge/src/peers/relay.rs
@@ -10,6 +10,7 @@
 use galenaloft_policy::ids::Capacity;
 use galenaloft_policy::ids::ConfigVersion;
 use galenaloft_policy::ids::HostId;
+use galenaloft_policy::quarantine::SuspectedRequest;
 use galenaloft_policy::route::Configuration;
 use galenaloft_policy::route::Route;
 use galenaloft_policy::routing::ReplicaView;
@@ -174,6 +175,17 @@
         self.ask(address, limit, call).await?
     }
 
+    /// Requests the requests that a peer suspects of crashing searchers. Returns `None` if it fails to
+    /// answer within `limit`.
+    pub async fn fetch_suspected_requests(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Option<Vec<SuspectedRequest>> {
+        self.ask(address, limit, async |client| client.suspected_requests(long_deadline()).await)
+            .await
+    }
+
     /// Calls a peer. Returns `None` if it fails to answer within `limit`; the next call to it opens a
     /// new connection.
     async fn ask<T>(
--- a/crates/edge/src/peers/service.rs
+++ b/crates/edge/src/peers/service.rs
@@ -5,7 +5,10 @@
 
 use futures::StreamExt;
 use galenaloft_policy::ids::ConfigVersion;
+use galenaloft_policy::quarantine::SuspectedRequest;
 use galenaloft_policy::route::Configuration;
+use galenaloft_runtime::clock::now;
+use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 use tarpc::context::Context;
 use tarpc::serde_transport::Transport;
@@ -35,6 +38,9 @@
 
     /// Returns the host's configuration if its version is greater than `version`.
     async fn newer_configuration(version: ConfigVersion) -> Option<Configuration>;
+
+    /// Returns the requests that the host suspects of crashing searchers.
+    async fn suspected_requests() -> Vec<SuspectedRequest>;
 }
 
 #[derive(Debug, Clone)]
@@ -59,6 +65,10 @@
         let config = self.host.config().filter(|config| config.version > version);
         config.map(|config| (*config).clone())
     }
+
+    async fn suspected_requests(self, _: Context) -> Vec<SuspectedRequest> {
+        lock(&self.host.quarantine).known(now())
+    }
 }
 
 /// Serves calls of other hosts for as long as the process runs.
--- a/crates/edge/src/query/crash_check.rs
+++ b/crates/edge/src/query/crash_check.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use galenaloft_policy::quarantine::Crash;
-use galenaloft_policy::quarantine::fingerprint;
 use galenaloft_runtime::clock::now;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -38,13 +37,9 @@
             Ok(Ok(_)) | Err(_) => return,
             Ok(Err(_)) => {}
         }
-        let inbound = &request.inbound;
-        let path = inbound.uri.to_string();
-        let crash = Crash {
-            fingerprint: fingerprint(inbound.method.as_str(), &inbound.host, &path, &inbound.body),
-            searcher: searcher.entry.id.clone(),
-        };
-        if host.record_crash(crash.clone(), None, now()) {
+        let crash =
+            Crash { fingerprint: request.fingerprint(), searcher: searcher.entry.id.clone() };
+        if host.record_crash(&crash, None, now()) {
             host.peers.publish(Report::Crash(crash));
         }
     });
--- a/crates/edge/src/query/routed_request.rs
+++ b/crates/edge/src/query/routed_request.rs
@@ -1,14 +1,19 @@
 //! A caller's request together with what is fixed about it when it arrives.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Instant;
 
 use galenaloft_adapter::caller::CallerRequest;
 use galenaloft_policy::ids::ServiceId;
+use galenaloft_policy::quarantine::Fingerprint;
+use galenaloft_policy::quarantine::QuarantineStatus;
+use galenaloft_policy::quarantine::fingerprint;
 use galenaloft_policy::route::Configuration;
 use galenaloft_policy::route::Route;
 use galenaloft_policy::routing::ConnectionShare;
 use galenaloft_policy::routing::SharingHosts;
+use galenaloft_runtime::sync::lock;
 
 use crate::host::Host;
 
@@ -33,6 +38,8 @@
     /// Searchers of the index that is queried, named by the least of its shards. `None` for a
     /// request to one service.
     pub index: Option<ServiceId>,
+    /// Fingerprint, computed when it is first needed.
+    fingerprint: OnceLock<Fingerprint>,
 }
 
 impl RoutedRequest {
@@ -46,8 +53,36 @@
         let timeout = inbound.patience.unwrap_or(route.timeout).min(route.timeout);
         let deadline = arrived_at + timeout;
         let objective = arrived_at + route.target_latency;
-        let (crash_suspect, index) = (false, None);
-        Self { inbound, route, config, arrived_at, deadline, objective, crash_suspect, index }
+        Self {
+            inbound,
+            route,
+            config,
+            arrived_at,
+            deadline,
+            objective,
+            crash_suspect: false,
+            index: None,
+            fingerprint: OnceLock::new(),
+        }
+    }
+
+    /// Returns the fingerprint by which the request is recognized when it is sent again.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let inbound = &self.inbound;
+        let compute = || {
+            let path = inbound.uri.to_string();
+            fingerprint(inbound.method.as_str(), &inbound.host, &path, &inbound.body)
+        };
+        *self.fingerprint.get_or_init(compute)
+    }
+
+    /// Returns how to treat the request, given the searchers that crashed while they ran it.
+    pub fn quarantine_status(&self, host: &Host, now: Instant) -> QuarantineStatus {
+        let quarantine = lock(&host.quarantine);
+        match quarantine.is_empty() {
+            true => QuarantineStatus::Clear,
+            false => quarantine.status(self.fingerprint(), now),
+        }
     }
 
     /// Records that the request would be sent to each of these services if their searchers had no
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -23,6 +23,13 @@
 /// Maximum number of suspected requests in the table, which is cleared when it is full.
 const MAX_SUSPECTS: usize = 4_096;
 
+/// Number of suspected requests up to which a host takes over those of others. Tables that are close to
+/// full may never agree.
+const MAX_SUSPECTS_TO_TAKE_OVER: usize = MAX_SUSPECTS / 2;
+
+/// Time between two removals of expired requests.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Hash of a request's method, host, path and body. It identifies a request that is resent under
 /// another request id.
 pub type Fingerprint = u64;
@@ -36,6 +43,57 @@
     pub searcher: SearcherId,
 }
 
+/// What a host knows of a suspected request, for hosts that do not know it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectedRequest {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Searchers that crashed while they ran the request.
+    pub searchers: Vec<SearcherId>,
+    /// Time since the last of these crashes.
+    pub last_crash_ago: Duration,
+}
+
+/// Summary of the crashes that a host knows. Hosts compare it to find out whether one of them lacks
+/// crashes that the other one knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashDigest {
+    /// Number of crashes.
+    crashes: u32,
+    /// Combined hash of the crashes, in any order.
+    hash: u64,
+}
+
+impl CrashDigest {
+    /// Returns whether the host with the digest `other` may know crashes that the one with this digest
+    /// lacks. Of two hosts with different digests, at least the one with fewer crashes lacks some. It
+    /// then knows all of them, and the other one sees that.
+    fn may_lack(self, other: Self) -> bool {
+        other.crashes > self.crashes || (other.crashes == self.crashes && other.hash != self.hash)
+    }
+
+    fn add(&mut self, fingerprint: Fingerprint, searcher: &SearcherId) {
+        self.crashes += 1;
+        self.hash ^= crash_hash(fingerprint, searcher);
+    }
+
+    fn remove(&mut self, fingerprint: Fingerprint, searcher: &SearcherId) {
+        self.crashes -= 1;
+        self.hash ^= crash_hash(fingerprint, searcher);
+    }
+
+    fn remove_all(&mut self, fingerprint: Fingerprint, suspect: &Suspect) {
+        suspect.searchers.iter().for_each(|searcher| self.remove(fingerprint, searcher));
+    }
+}
+
+fn crash_hash(fingerprint: Fingerprint, searcher: &SearcherId) -> u64 {
+    let mut hash = Xxh3::new();
+    hash.update(&fingerprint.to_le_bytes());
+    hash.update(searcher.as_bytes());
+    hash.digest()
+}
+
 /// Computes the fingerprint of a request.
 pub fn fingerprint(method: &str, host: &str, path: &str, body: &[u8]) -> Fingerprint {
     let mut hash = Xxh3::new();
@@ -48,15 +106,34 @@
 
 #[derive(Debug)]
 struct Suspect {
-    /// Searchers that crashed while they ran the request.
+    /// Searchers that crashed while they ran the request: the first [`QUARANTINE_CRASHES`] in the
+    /// order of their ids, so that all hosts keep the same ones.
     searchers: BTreeSet<SearcherId>,
     last_crash: Instant,
 }
 
+impl Suspect {
+    fn is_quarantined(&self) -> bool {
+        self.searchers.len() >= QUARANTINE_CRASHES
+    }
+
+    fn is_expired(&self, now: Instant) -> bool {
+        is_expired(now.saturating_duration_since(self.last_crash))
+    }
+}
+
+fn is_expired(last_crash_ago: Duration) -> bool {
+    last_crash_ago >= SUSPICION_TTL
+}
+
 /// Suspected and quarantined requests, as known to one host.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     suspects: BTreeMap<Fingerprint, Suspect>,
+    /// Digest of `suspects`.
+    digest: CrashDigest,
+    /// When expired requests were last removed.
+    expired_removed_at: Option<Instant>,
 }
 
 /// How a request is treated because of the crashes it may have caused.
@@ -71,16 +148,50 @@
 }
 
 impl Quarantine {
-    /// Records a crash. Returns `true` if this request was not yet known to have crashed this
-    /// searcher.
-    pub fn record_crash(&mut self, crash: Crash, now: Instant) -> bool {
+    /// Records a crash. Returns `true` if it adds to what is known of the request: after
+    /// [`QUARANTINE_CRASHES`] searchers, further ones hardly do.
+    pub fn record_crash(&mut self, crash: &Crash, now: Instant) -> bool {
         self.drop_expired(now);
-        let suspect = self
-            .suspects
-            .entry(crash.fingerprint)
-            .or_insert_with(|| Suspect { searchers: BTreeSet::new(), last_crash: now });
-        suspect.last_crash = now;
-        suspect.searchers.insert(crash.searcher)
+        self.insert(crash.fingerprint, &crash.searcher, now)
+    }
+
+    /// Takes over what another host knows. Returns the number of crashes that were not known.
+    pub fn merge(&mut self, known: Vec<SuspectedRequest>, now: Instant) -> usize {
+        self.drop_expired(now);
+        let mut new_crashes = 0;
+        for SuspectedRequest { fingerprint, searchers, last_crash_ago } in known {
+            if is_expired(last_crash_ago) {
+                continue;
+            }
+            // The clock may not represent times before its start.
+            let last_crash = now.checked_sub(last_crash_ago).unwrap_or(now);
+            for searcher in &searchers {
+                new_crashes += usize::from(self.insert(fingerprint, searcher, last_crash));
+            }
+        }
+        new_crashes
+    }
+
+    /// Returns what is known of all suspected requests.
+    pub fn known(&mut self, now: Instant) -> Vec<SuspectedRequest> {
+        self.drop_expired(now);
+        let suspected = |(fingerprint, suspect): (&Fingerprint, &Suspect)| SuspectedRequest {
+            fingerprint: *fingerprint,
+            searchers: suspect.searchers.iter().cloned().collect(),
+            last_crash_ago: now.saturating_duration_since(suspect.last_crash),
+        };
+        self.suspects.iter().map(suspected).collect()
+    }
+
+    /// Returns the digest of the known crashes.
+    pub fn digest(&mut self, now: Instant) -> CrashDigest {
+        self.drop_expired(now);
+        self.digest
+    }
+
+    /// Returns whether a host with this digest may know crashes that are to be taken over.
+    pub fn may_lack(&mut self, digest: CrashDigest, now: Instant) -> bool {
+        self.digest(now).may_lack(digest) && self.suspects.len() <= MAX_SUSPECTS_TO_TAKE_OVER
     }
 
     /// Returns whether no request is suspected, in which case fingerprints need not be computed.
@@ -91,12 +202,8 @@
     /// Returns how the request with this fingerprint is treated.
     pub fn status(&self, fingerprint: Fingerprint, now: Instant) -> QuarantineStatus {
         match self.suspects.get(&fingerprint) {
-            Some(suspect) if now.saturating_duration_since(suspect.last_crash) >= SUSPICION_TTL => {
-                QuarantineStatus::Clear
-            }
-            Some(suspect) if suspect.searchers.len() >= QUARANTINE_CRASHES => {
-                QuarantineStatus::Quarantined
-            }
+            Some(suspect) if suspect.is_expired(now) => QuarantineStatus::Clear,
+            Some(suspect) if suspect.is_quarantined() => QuarantineStatus::Quarantined,
             Some(_) => QuarantineStatus::Suspected,
             None => QuarantineStatus::Clear,
         }
@@ -111,13 +218,52 @@
         (count(QuarantineStatus::Suspected), count(QuarantineStatus::Quarantined))
     }
 
-    fn drop_expired(&mut self, now: Instant) {
-        let is_recent =
-            |suspect: &Suspect| now.saturating_duration_since(suspect.last_crash) < SUSPICION_TTL;
-        self.suspects.retain(|_, suspect| is_recent(suspect));
+    /// Inserts a crash. Returns whether it was not known and is kept.
+    fn insert(&mut self, fingerprint: Fingerprint, searcher: &SearcherId, at: Instant) -> bool {
+        if !self.suspects.contains_key(&fingerprint) {
+            self.make_room();
+        }
+        let suspect = self
+            .suspects
+            .entry(fingerprint)
+            .or_insert_with(|| Suspect { searchers: BTreeSet::new(), last_crash: at });
+        suspect.last_crash = suspect.last_crash.max(at);
+        if !suspect.searchers.insert(searcher.clone()) {
+            return false;
+        }
+        self.digest.add(fingerprint, searcher);
+        if suspect.searchers.len() <= QUARANTINE_CRASHES {
+            return true;
+        }
+        let Some(last) = suspect.searchers.pop_last() else {
+            return true;
+        };
+        self.digest.remove(fingerprint, &last);
+        last != *searcher
+    }
+
+    /// Clears the table if it is full.
+    fn make_room(&mut self) {
         if self.suspects.len() >= MAX_SUSPECTS {
             self.suspects.clear();
+            self.digest = CrashDigest::default();
+        }
+    }
+
+    fn drop_expired(&mut self, now: Instant) {
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= EXPIRY_INTERVAL;
+        if !self.expired_removed_at.is_none_or(is_due) {
+            return;
         }
+        self.expired_removed_at = Some(now);
+        let Self { suspects, digest, .. } = self;
+        suspects.retain(|fingerprint, suspect| {
+            let expired = suspect.is_expired(now);
+            if expired {
+                digest.remove_all(*fingerprint, suspect);
+            }
+            !expired
+        });
     }
 }
 
