A full table of suspected requests keeps those that are refused

Callers would see: after 4,096 suspected requests within 10 minutes, as the loss of a zone's searchers may bring about, each request that crashes searchers is sent to them again by the host, three more times. Cause: the table was cleared when it was full. Change: an eighth is removed, requests that are not refused first, then the oldest. Hosts whose tables are half full ask for no more, since close to full ones may never agree. Test: requests_that_are_refused_stay_refused_when_many_others_are_suspected; failed before (Clear instead of Quarantined).

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -20,9 +20,12 @@
 /// such a request within seconds or minutes.
 const SUSPICION_TTL: Duration = Duration::from_secs(600);
 
-/// Maximum number of suspected requests in the table, which is cleared when it is full.
+/// Maximum number of suspected requests in the table.
 const MAX_SUSPECTS: usize = 4_096;
 
+/// Number of requests that are removed from a full table at once.
+const REMOVED_WHEN_FULL: usize = MAX_SUSPECTS / 8;
+
 /// Number of suspected requests up to which a host takes over those of others. Tables that are close to
 /// full may never agree.
 const MAX_SUSPECTS_TO_TAKE_OVER: usize = MAX_SUSPECTS / 2;
@@ -242,11 +245,21 @@
         last != *searcher
     }
 
-    /// Clears the table if it is full.
+    /// Removes some requests if the table is full: those that are not quarantined first, and then those
+    /// whose last crash is longest ago.
     fn make_room(&mut self) {
-        if self.suspects.len() >= MAX_SUSPECTS {
-            self.suspects.clear();
-            self.digest = CrashDigest::default();
+        if self.suspects.len() < MAX_SUSPECTS {
+            return;
+        }
+        let order = |(fingerprint, suspect): (&Fingerprint, &Suspect)| {
+            (suspect.is_quarantined(), suspect.last_crash, *fingerprint)
+        };
+        let mut ordered: Vec<_> = self.suspects.iter().map(order).collect();
+        ordered.sort_unstable();
+        for (_, _, fingerprint) in ordered.into_iter().take(REMOVED_WHEN_FULL) {
+            if let Some(suspect) = self.suspects.remove(&fingerprint) {
+                self.digest.remove_all(fingerprint, &suspect);
+            }
         }
     }
 
--- a/crates/policy/src/quarantine/tests.rs
+++ b/crates/policy/src/quarantine/tests.rs
@@ -66,6 +66,24 @@
     assert!(second.is_empty());
 }
 
+/// Guards against a table that is cleared when it is full, after which all requests that crash searchers
+/// are sent to them again.
+#[test]
+fn requests_that_are_refused_stay_refused_when_many_others_are_suspected() {
+    let now = Instant::now();
+    let mut quarantine = quarantine(&[(1, 1), (1, 2), (1, 3)], now);
+    let later = now + Duration::from_secs(1);
+    for fingerprint in 10..20_000 {
+        quarantine.record_crash(&crash(fingerprint, "a"), later);
+    }
+    assert_eq!(quarantine.status(1, later), QuarantineStatus::Quarantined);
+    let (suspected, quarantined) = quarantine.counts(later);
+    assert!(suspected < MAX_SUSPECTS && quarantined == 1, "{suspected}, {quarantined}");
+    // Hosts with such tables do not ask each other without end.
+    let others = CrashDigest { crashes: 20_000, hash: 1 };
+    assert!(!quarantine.may_lack(others, later));
+}
+
 quickcheck! {
     /// Guards against hosts that stay different, or that ask each other without end.
     fn hosts_that_tell_each_other_agree_and_are_silent_then(
