Aggregators recognize a request as its coordinator does

Callers would see: a query over many shards whose caller names a port, or sends the whole URI, is never refused, however many searchers it crashes, if aggregators send it to them. Cause: the coordinator takes the host from the request line or without its port, the aggregator took it from the header as it stands. Their fingerprints of the request differed, so that the aggregator's reports of crashes concerned a request that no coordinator ever sees. Change: the group query names the host as the coordinator decoded it (about 25 bytes a group query). Test: aggregators_recognize_a_request_as_its_coordinator_does; failed before for HOST:8104 (Clear instead of Suspected).

--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -173,6 +173,8 @@
 pub struct GroupQuery {
     /// Id of the caller's request.
     pub request_id: String,
+    /// Host that the request names, as its coordinator decoded it.
+    pub host: String,
     /// Method of the request.
     pub method: String,
     /// Path and query string.
--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -236,6 +236,7 @@
         };
         GroupQuery {
             request_id: inbound.id.clone(),
+            host: inbound.host.clone(),
             method: inbound.method.as_str().to_owned(),
             path: inbound.uri.to_string(),
             headers: inbound.headers.iter().map(header).collect(),
@@ -266,6 +267,7 @@
     let arrived_at = now();
     let inbound = CallerRequest::from_parts(
         query.request_id,
+        query.host,
         &query.method,
         &query.path,
         &query.headers,
--- a/crates/edge/src/query/mod.rs
+++ b/crates/edge/src/query/mod.rs
@@ -14,3 +14,6 @@
 pub use group::answer_group;
 pub use routed_request::RoutedRequest;
 pub use service::query_service;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/edge/src/query/tests.rs
@@ -0,0 +1,94 @@
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use galenaloft_adapter::caller::CallerRequest;
+use galenaloft_config::edge::EdgeSettings;
+use galenaloft_platform_standin::scene::GATHER_PATH;
+use galenaloft_platform_standin::scene::HOST;
+use galenaloft_platform_standin::scene::Layout;
+use galenaloft_platform_standin::scene::Scene;
+use galenaloft_platform_standin::searcher::Fault;
+use galenaloft_policy::quarantine::QuarantineStatus;
+use galenaloft_policy::route::Target;
+use galenaloft_runtime::clock::now;
+use hyper::Request;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use super::group::ShardGroup;
+use super::*;
+use crate::host::Host;
+use crate::peers::Aggregator;
+use crate::store;
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Starts a host that follows the store of a scene and has no peers.
+async fn start_host(scene: &Scene) -> Arc<Host> {
+    let text = format!(
+        "host: h1\nzone: a\nlisten:\n  callers: 127.0.0.1:1\n  readiness: 127.0.0.1:2\n  peers: \
+         127.0.0.1:3\n  metrics: 127.0.0.1:4\nstore: {}\nextra-requests: {{ ratio: 0.2, slack: 54, \
+         window-seconds: 10 }}\n",
+        scene.store_address
+    );
+    let host = Arc::new(Host::new(EdgeSettings::parse("h1.yaml", &text).unwrap(), 1));
+    let (tx, rx) = mpsc::unbounded_channel();
+    std::mem::forget(tx);
+    tokio::spawn(store::follow(host.clone(), rx));
+    while host.config().is_none() || !host.searchers_loaded.load(Ordering::Relaxed) {
+        sleep(10 * MS).await;
+    }
+    host
+}
+
+fn call(path: &str, host: &str) -> Request<Bytes> {
+    let req = Request::get(path).header("Host", host).header("Request-Id", "0123456789abcdef");
+    req.header("Deadline-Ms", "2000").body(Bytes::new()).unwrap()
+}
+
+fn routed(host: &Host, path: &str, named: &str) -> RoutedRequest {
+    let inbound = CallerRequest::decode(call(path, named)).unwrap();
+    let config = host.config().unwrap();
+    let route = config.route(&inbound.host, inbound.path()).cloned().unwrap();
+    RoutedRequest::new(inbound, route, config, now())
+}
+
+/// Runs a query as the aggregator of all shards.
+async fn aggregate(host: &Arc<Host>, request: &RoutedRequest) {
+    let Target::Gather(gather) = &request.route.target else {
+        panic!("the route has no shards");
+    };
+    let aggregator = Aggregator {
+        host: "h1".into(),
+        address: host.settings.listen.peers,
+        capacity: host.capacity(),
+    };
+    let count = gather.shards.len();
+    let group = ShardGroup { aggregator, shards: (0..count).collect() };
+    let allowed = vec![Vec::new(); count];
+    let query = group.query(request, gather, &allowed, 1, request.deadline, now());
+    assert!(answer_group(host, query).await.is_some());
+}
+
+/// Guards against aggregators that report a crash under another fingerprint than the one by which the
+/// coordinators recognize the request, so that it is never refused.
+#[tokio::test]
+async fn aggregators_recognize_a_request_as_its_coordinator_does() {
+    for (path, named) in [
+        (GATHER_PATH.to_owned(), HOST.to_owned()),
+        (GATHER_PATH.to_owned(), format!("{HOST}:8104")),
+        (format!("http://{HOST}{GATHER_PATH}"), "another.example".to_owned()),
+    ] {
+        let layout = Layout { shards: 2, replicas: 1, ..Layout::default() };
+        let scene = Scene::start(&layout).await.unwrap();
+        let host = start_host(&scene).await;
+        scene.shards.iter().flatten().for_each(|searcher| searcher.set_fault(Fault::Crash));
+        let request = routed(&host, &path, &named);
+        aggregate(&host, &request).await;
+        sleep(400 * MS).await;
+        let status = request.quarantine_status(&host, now());
+        assert_eq!(status, QuarantineStatus::Suspected, "{path} of {named}");
+    }
+}
