Aggregators send a suspected request to one searcher at a time

Callers would see: a query over many shards that crashes searchers takes down two of a shard at once where an aggregator queries them, so that the shard has none left for the queries of others. Cause: the coordinator sends no hedges for a suspected request; the aggregator took each request for a clear one. Change: the aggregator looks the request up in its own table, as the coordinator does. Test: aggregators_send_a_suspected_request_to_one_searcher_at_a_time; failed before (8 requests to 4 shards).

--- a/crates/edge/src/query/group.rs
+++ b/crates/edge/src/query/group.rs
@@ -20,6 +20,7 @@
 use galenaloft_policy::gathering::is_too_wide;
 use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::ids::ZoneId;
+use galenaloft_policy::quarantine::QuarantineStatus;
 use galenaloft_policy::route::Gather;
 use galenaloft_policy::route::Route;
 use galenaloft_policy::route::Target;
@@ -289,6 +290,7 @@
         target: Target::Gather(gather.clone()),
     };
     let mut request = RoutedRequest::new(inbound, Arc::new(route), host.config()?, arrived_at);
+    request.crash_suspect = request.quarantine_status(host, arrived_at) != QuarantineStatus::Clear;
     request.index = query.admission.as_ref().map(|admission| admission.searchers.clone());
     if let Some(group) = &query.admission
         && !admission::accepts_group(host, &request, group, gather.shards.len(), arrived_at)
--- a/crates/edge/src/query/tests.rs
+++ b/crates/edge/src/query/tests.rs
@@ -10,6 +10,8 @@
 use galenaloft_platform_standin::scene::Layout;
 use galenaloft_platform_standin::scene::Scene;
 use galenaloft_platform_standin::searcher::Fault;
+use galenaloft_platform_standin::searcher::Searcher;
+use galenaloft_policy::quarantine::Crash;
 use galenaloft_policy::quarantine::QuarantineStatus;
 use galenaloft_policy::route::Target;
 use galenaloft_runtime::clock::now;
@@ -55,6 +57,17 @@
     RoutedRequest::new(inbound, route, config, now())
 }
 
+fn record_crashes(host: &Host, request: &RoutedRequest, searchers: &[&str]) {
+    for searcher in searchers {
+        let crash = Crash { fingerprint: request.fingerprint(), searcher: (*searcher).into() };
+        assert!(host.record_crash(&crash, None, now()));
+    }
+}
+
+fn arrivals<'a>(searchers: impl IntoIterator<Item = &'a Searcher>) -> usize {
+    searchers.into_iter().map(|searcher| searcher.arrivals().len()).sum()
+}
+
 /// Runs a query as the aggregator of all shards.
 async fn aggregate(host: &Arc<Host>, request: &RoutedRequest) {
     let Target::Gather(gather) = &request.route.target else {
@@ -92,3 +105,20 @@
         assert_eq!(status, QuarantineStatus::Suspected, "{path} of {named}");
     }
 }
+
+/// Guards against aggregators that send a suspected request to a second searcher while the first one
+/// still runs it, so that it crashes two at a time.
+#[tokio::test]
+async fn aggregators_send_a_suspected_request_to_one_searcher_at_a_time() {
+    let layout = Layout { shards: 4, work: 150 * MS, ..Layout::default() };
+    let scene = Scene::start(&layout).await.unwrap();
+    let host = start_host(&scene).await;
+    let request = routed(&host, GATHER_PATH, HOST);
+    aggregate(&host, &request).await;
+    let hedged = arrivals(scene.shards.iter().flatten());
+    assert!(hedged > 4, "slow searchers are hedged: {hedged} requests");
+    let request = routed(&host, GATHER_PATH, HOST);
+    record_crashes(&host, &request, &["another"]);
+    aggregate(&host, &request).await;
+    assert_eq!(arrivals(scene.shards.iter().flatten()) - hedged, 4);
+}
