Refuse a waiting request once it is known to crash searchers

Cause: the quarantine was looked up when a request arrives only. Change: requests to one searcher are looked up before each attempt and hedge too. Queries over many shards are not: they end well within the time after which the rule counts, and searchers that crash at the same moment all ran parts of the same queries. Test: request_that_waits_for_a_searcher_is_refused_once_it_is_known_to_crash_them; failed before (200, not 503).

--- a/crates/edge/src/api.rs
+++ b/crates/edge/src/api.rs
@@ -9,6 +9,7 @@
 use galenaloft_adapter::caller::CallerRequest;
 use galenaloft_http::Reply;
 use galenaloft_policy::quarantine::QuarantineStatus;
+use galenaloft_policy::quarantine::SUSPICION_TTL;
 use galenaloft_policy::route::Target;
 use galenaloft_runtime::clock::now;
 use galenaloft_telemetry::log::Event;
@@ -22,9 +23,6 @@
 /// service with a positive weight.
 const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Time after which a caller may retry a request that crashes searchers.
-const QUARANTINE_RETRY_DELAY: Duration = Duration::from_secs(600);
-
 /// Counts a request as in progress until dropped.
 struct InProgressGuard<'a>(&'a Host);
 
@@ -62,7 +60,7 @@
         QuarantineStatus::Suspected => request.crash_suspect = true,
         QuarantineStatus::Quarantined => {
             Event::new("quarantined").with("request", &request.inbound.id).warn();
-            return Answer::Refused(QUARANTINE_RETRY_DELAY).encode(host.closes_connections());
+            return Answer::Refused(SUSPICION_TTL).encode(host.closes_connections());
         }
     }
     if let (Some(_), Target::Gather(gather)) = (&host.admission, &request.route.target) {
--- a/crates/edge/src/query/gather.rs
+++ b/crates/edge/src/query/gather.rs
@@ -448,6 +448,7 @@
                     Ok(_) => self.may_have_run = true,
                     Err(
                         ShardFailure::AttemptFailed(_)
+                        | ShardFailure::Quarantined
                         | ShardFailure::Expired
                         | ShardFailure::NoSearcher,
                     ) => {}
--- a/crates/edge/src/query/service.rs
+++ b/crates/edge/src/query/service.rs
@@ -7,7 +7,9 @@
 use galenaloft_adapter::caller::Answer;
 use galenaloft_adapter::searcher::SearcherAnswer;
 use galenaloft_policy::ids::ServiceId;
+use galenaloft_policy::quarantine::SUSPICION_TTL;
 use galenaloft_runtime::clock::now;
+use galenaloft_telemetry::log::Event;
 
 use crate::host::Host;
 use crate::query::RoutedRequest;
@@ -38,6 +40,10 @@
     };
     match query.run(accept).await {
         Ok(answer) => Answer::Relayed(answer),
+        Err(ShardFailure::Quarantined) if !query.may_have_run() => {
+            Event::new("quarantined").with("request", &request.inbound.id).warn();
+            Answer::Refused(SUSPICION_TTL)
+        }
         Err(_) if !query.may_have_run() => {
             let now = now();
             let opens_at = host.fleet.service(service).opens_at(now);
@@ -47,6 +53,7 @@
         }
         Err(ShardFailure::Expired) => Answer::TimedOut,
         Err(ShardFailure::AttemptFailed(failure)) => Answer::Lost(failure.reason),
+        Err(ShardFailure::Quarantined) => Answer::Lost("the request crashes searchers"),
         Err(ShardFailure::NoSearcher) => Answer::Lost("no searcher is left"),
     }
 }
--- a/crates/edge/src/query/shard.rs
+++ b/crates/edge/src/query/shard.rs
@@ -18,6 +18,8 @@
 use galenaloft_policy::admission::by_cost::PartOutcome;
 use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::ids::ServiceId;
+use galenaloft_policy::quarantine::QuarantineStatus;
+use galenaloft_policy::route::Target;
 use galenaloft_policy::routing::ConnectionShare;
 use galenaloft_policy::routing::ExpectedQueue;
 use galenaloft_policy::routing::ExtraRequestShare;
@@ -76,6 +78,8 @@
     NoSearcher,
     /// No attempt succeeded; holds the failure of one of them.
     AttemptFailed(AttemptFailure),
+    /// The request has become known to crash searchers since it arrived.
+    Quarantined,
     /// The deadline has passed.
     Expired,
 }
@@ -249,6 +253,15 @@
             && self.has_attempts_left()
     }
 
+    /// Returns whether a request to one searcher has become known to crash searchers since it arrived; it
+    /// may wait for seconds. Queries over many shards go on: they end soon, and searchers that crash at
+    /// the same moment all ran parts of the same queries.
+    fn is_quarantined(&self, now: Instant) -> bool {
+        let is_single = !matches!(self.request.route.target, Target::Gather(_));
+        is_single
+            && self.request.quarantine_status(&self.host, now) == QuarantineStatus::Quarantined
+    }
+
     fn has_attempts_left(&self) -> bool {
         let max_attempts =
             if self.charged_as_extra { 1 } else { self.request.route.max_attempts as usize };
@@ -290,6 +303,10 @@
             if now >= self.request.deadline {
                 return Err(ShardFailure::Expired);
             }
+            if self.is_quarantined(now) {
+                self.waiting_since = None;
+                return Err(ShardFailure::Quarantined);
+            }
             match self.choose_searcher(self.outstanding_bound(), now) {
                 Choice::Searcher(searcher) => {
                     if is_retry && !charged {
@@ -338,6 +355,9 @@
             return;
         }
         let now = now();
+        if self.is_quarantined(now) {
+            return;
+        }
         if !admission::allows_hedges(&self.host, &self.request, &self.service_id, now) {
             return;
         }
--- a/crates/edge/src/query/tests.rs
+++ b/crates/edge/src/query/tests.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use galenaloft_adapter::caller::CallerRequest;
 use galenaloft_config::edge::EdgeSettings;
+use galenaloft_platform_standin::scene::FETCH_PATH;
 use galenaloft_platform_standin::scene::GATHER_PATH;
 use galenaloft_platform_standin::scene::HOST;
 use galenaloft_platform_standin::scene::Layout;
@@ -21,6 +22,7 @@
 
 use super::group::ShardGroup;
 use super::*;
+use crate::api;
 use crate::host::Host;
 use crate::peers::Aggregator;
 use crate::store;
@@ -122,3 +124,26 @@
     aggregate(&host, &request).await;
     assert_eq!(arrivals(scene.shards.iter().flatten()) - hedged, 4);
 }
+
+/// Guards against requests that were waiting for a searcher when they became known to crash searchers,
+/// and were sent all the same, seconds later.
+#[tokio::test]
+async fn request_that_waits_for_a_searcher_is_refused_once_it_is_known_to_crash_them() {
+    let layout = Layout { shards: 0, singles: 1, work: 600 * MS, ..Layout::default() };
+    let scene = Scene::start(&layout).await.unwrap();
+    let mut config = scene.configuration(2);
+    config["services"][0]["max_conns"] = 8.into();
+    scene.configure(&config);
+    let host = start_host(&scene).await;
+    let path = format!("{FETCH_PATH}crashes");
+    let first = tokio::spawn(api::answer(host.clone(), call(FETCH_PATH, HOST)));
+    sleep(100 * MS).await;
+    let waiting = tokio::spawn(api::answer(host.clone(), call(&path, HOST)));
+    sleep(100 * MS).await;
+    record_crashes(&host, &routed(&host, &path, HOST), &["s1", "s2", "s3"]);
+    assert_eq!(first.await.unwrap().status(), 200);
+    let refused = waiting.await.unwrap();
+    assert_eq!(refused.status(), 503);
+    assert_eq!(refused.headers()["retry-after"], "600.000");
+    assert_eq!(arrivals(&scene.singles), 1);
+}
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -18,7 +18,7 @@
 
 /// How long a request stays suspected or quarantined after its last crash. Callers usually resend
 /// such a request within seconds or minutes.
-const SUSPICION_TTL: Duration = Duration::from_secs(600);
+pub const SUSPICION_TTL: Duration = Duration::from_secs(600);
 
 /// Maximum number of suspected requests in the table.
 const MAX_SUSPECTS: usize = 4_096;
