Bound the bytes of taking over suspected requests

While many searchers crash, as a zone does, hosts differ all the time and each would ask for thousands of requests five times a second. A host now waits 2 ms longer for each request that it was told of. Computed, not measured: 25 KB/s at the most instead of 1 MB/s.

--- a/crates/edge/src/peers/suspects.rs
+++ b/crates/edge/src/peers/suspects.rs
@@ -1,5 +1,5 @@
-//! Requests suspected of crashing searchers that other hosts know and this one does not: it may have
-//! started since, been cut off from the others, or not received a report.
+//! Takes over requests that other hosts suspect of crashing searchers and this one does not know: it may
+//! have started since, been cut off from the others, or not received a report.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,13 +17,17 @@
 /// Longest wait for a peer's answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Time in which a host that knows crashes gets the reports of new ones, so that it need not ask for
-/// them.
-const REPORT_TIME: Duration = Duration::from_millis(300);
+/// Delay of the question by a host that knows other crashes already: it mostly lacks only those whose
+/// report is on its way.
+const REPORT_DELAY: Duration = Duration::from_millis(300);
 
-/// Time between two questions to peers, of which each may have thousands of requests to tell.
+/// Shortest time between two questions to peers.
 const MIN_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Further time for each request that a peer told of, which bounds the bytes to some 25 KB/s while many
+/// searchers crash.
+const INTERVAL_PER_REQUEST: Duration = Duration::from_millis(2);
+
 /// Another host may know crashes that this one lacks.
 #[derive(Debug)]
 pub struct CrashNotice {
@@ -38,29 +42,30 @@
 pub async fn follow(host: Arc<Host>, mut notices: Receiver<CrashNotice>) {
     while let Some(CrashNotice { peer, digest }) = notices.recv().await {
         if !lock(&host.quarantine).is_empty() {
-            sleep(REPORT_TIME).await;
+            sleep(REPORT_DELAY).await;
         }
         if !lock(&host.quarantine).may_lack(digest, now()) {
             continue;
         }
-        take_over(&host, peer).await;
-        sleep(MIN_INTERVAL).await;
+        let requests = take_over(&host, peer).await;
+        sleep(MIN_INTERVAL + INTERVAL_PER_REQUEST * requests).await;
     }
 }
 
-/// Takes over the suspected requests that a peer knows.
-async fn take_over(host: &Host, peer: SocketAddr) {
+/// Takes over the suspected requests that a peer knows. Returns how many these are.
+async fn take_over(host: &Host, peer: SocketAddr) -> u32 {
     let Some(known) = host.relays.fetch_suspected_requests(peer, PEER_TIMEOUT).await else {
         Event::new("suspects_not_received").with("peer", peer).info();
-        return;
+        return 0;
     };
-    let requests = known.len();
+    let requests = u32::try_from(known.len()).unwrap_or(u32::MAX);
     let new_crashes = lock(&host.quarantine).merge(known, now());
     Event::new("suspects_received")
         .with("peer", peer)
         .with("requests", requests)
         .with("new_crashes", new_crashes)
         .info();
+    requests
 }
 
 #[cfg(test)]
