galenaloftd: a host that starts asks for the copies of outcomes that it is to keep

Callers saw: once a ticket's holder had been killed and the two hosts with copies of its outcomes were restarted in turn, a caller that came again was told that its filing may have run (504), though it had run and was answered. Change: each host asks each process among its peers once for the copies that it is chosen to keep. Test: copies_of_outcomes_outlive_restarts_of_the_hosts_that_keep_them; failed before (MAY_HAVE_RUN).

--- a/bin/galenaloftd/tests/processes.rs
+++ b/bin/galenaloftd/tests/processes.rs
@@ -50,6 +50,28 @@
     assert_eq!((fleet.runs(&done).await, fleet.runs(&unused).await), (1, 0));
 }
 
+/// Guards against outcomes that are lost once their issuer was killed and the hosts that keep copies were
+/// restarted in turn.
+#[tokio::test(flavor = "multi_thread")]
+async fn copies_of_outcomes_outlive_restarts_of_the_hosts_that_keep_them() {
+    let mut fleet = Fleet::start(33_000, 3).await;
+    let ticket = fleet.ticket(0).await;
+    let receipt = fleet.file(1, &ticket).await.unwrap();
+    sleep(Duration::from_millis(500)).await;
+    fleet.kill(0);
+    for host in [1, 2] {
+        fleet.kill(host);
+        fleet.start_host(host);
+        fleet.wait_for_peers(host, 1).await;
+        sleep(Duration::from_secs(2)).await;
+    }
+    for host in [1, 2] {
+        let again = fleet.file(host, &ticket).await.unwrap();
+        assert_eq!((&again.receipt, again.replayed), (&receipt.receipt, true));
+    }
+    assert_eq!(fleet.runs(&ticket).await, 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_frozen_issuer_runs_its_ticket_at_most_once_and_asks_before_it_works_again() {
     let fleet = Fleet::start(31_400, 3).await;
--- a/crates/host/src/node/background.rs
+++ b/crates/host/src/node/background.rs
@@ -35,6 +35,7 @@
         tasks.spawn(run_host_list_reader(self.clone()));
         tasks.spawn(run_cleanup(self.clone()));
         tasks.spawn(run_heartbeat(self.clone()));
+        tasks.spawn(self.clone().restore_copies());
         let node = self.clone();
         tasks.spawn(async move {
             fetch_initial_values(&node).await;
@@ -105,6 +106,7 @@
             ready
         });
         *lock(&self.cluster_view) = ClusterView::default();
+        self.copies.ask_again();
         refresh_values(self).await;
         if paused {
             self.become_ready("host_resumed");
--- a/crates/host/src/node/peer_service.rs
+++ b/crates/host/src/node/peer_service.rs
@@ -24,6 +24,7 @@
 use galenaloft_policy::attempt::AttemptReply;
 use galenaloft_policy::attempt::AttemptRequest;
 use galenaloft_policy::attempt::FailureReason;
+use galenaloft_policy::ids::HostId;
 use galenaloft_policy::membership::HostFact;
 use galenaloft_policy::revision::Stamp;
 use galenaloft_policy::ticket::Handover;
@@ -109,6 +110,15 @@
         self.0.copies.get(&ticket)
     }
 
+    async fn copies_for(
+        self,
+        _: Context,
+        host: HostId,
+        after: String,
+    ) -> Vec<(Ticket, StoredOutcome)> {
+        self.0.copies_for(&host, &after)
+    }
+
     async fn probe(self, _: Context, probe: Probe) -> Probe {
         answer_probe(&self.0, probe)
     }
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -2,6 +2,7 @@
 
 use galenaloft_policy::attempt::AttemptReply;
 use galenaloft_policy::attempt::AttemptRequest;
+use galenaloft_policy::ids::HostId;
 use galenaloft_policy::membership::HostFact;
 use galenaloft_policy::revision::Stamp;
 use galenaloft_policy::ticket::Handover;
@@ -29,6 +30,10 @@
     /// Returns the receiver's copy of an outcome, if it has one.
     async fn find_outcome(ticket: Ticket) -> Option<StoredOutcome>;
 
+    /// Returns some of the receiver's copies that `host` is chosen to keep, in the order of their tickets
+    /// and beginning after the ticket `after`; none after the last one.
+    async fn copies_for(host: HostId, after: String) -> Vec<(Ticket, StoredOutcome)>;
+
     /// Exchanges facts about hosts. The reply proves that the receiver is alive.
     async fn probe(probe: Probe) -> Probe;
 
