--- a/crates/edge/src/peers/suspects/tests.rs
+++ b/crates/edge/src/peers/suspects/tests.rs
@@ -65,3 +65,29 @@
     wait_until_all_refuse(&hosts, 2).await;
     assert_eq!(lock(&hosts[2].quarantine).counts(now()), (0, 2));
 }
+
+/// Guards against crashes that stay within a zone of a large fleet, where only representatives speak with
+/// other zones.
+#[tokio::test]
+async fn crashes_become_known_in_all_zones_of_a_large_fleet() {
+    let seeds = "127.72.0.1:1, 127.72.1.1:1, 127.72.2.1:1";
+    let mut hosts = Vec::new();
+    for (number, zone) in ["a", "b", "c"].into_iter().enumerate() {
+        for i in 1..=10 {
+            let (name, ip) = (format!("{zone}{i}"), format!("127.72.{number}.{i}"));
+            hosts.push(start_host(&name, zone, &ip, 28900, seeds).await);
+        }
+    }
+    let began = Instant::now();
+    let is_divided =
+        |host: &Arc<Host>| host.peers.own_zone_hosts() == 10 && host.peers.zone_gossip().is_some();
+    while !hosts.iter().all(is_divided) {
+        assert!(began.elapsed() < Duration::from_secs(15), "the hosts do not know each other");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let Some(teller) = hosts.iter().find(|host| !host.peers.speaks_for_zone()) else {
+        panic!("all hosts are representatives");
+    };
+    record(teller, 1, &["s1", "s2", "s3"]);
+    wait_until_all_refuse(&hosts, 1).await;
+}
