--- a/crates/edge/src/peers/suspects/tests.rs
+++ b/crates/edge/src/peers/suspects/tests.rs
@@ -19,8 +19,7 @@
     let socket = UdpSocket::bind(host.settings.listen.peers).await.unwrap();
     let listener = TcpListener::bind(host.settings.listen.peers).await.unwrap();
     // No task reads the notices about the store.
-    let (tx, rx) = mpsc::unbounded_channel();
-    std::mem::forget(rx);
+    let (tx, _) = mpsc::unbounded_channel();
     tokio::spawn(crate::peers::run(host.clone(), socket, tx));
     tokio::spawn(crate::peers::serve(host.clone(), listener));
     host
--- a/crates/edge/src/query/tests.rs
+++ b/crates/edge/src/query/tests.rs
@@ -38,8 +38,7 @@
         scene.store_address
     );
     let host = Arc::new(Host::new(EdgeSettings::parse("h1.yaml", &text).unwrap(), 1));
-    let (tx, rx) = mpsc::unbounded_channel();
-    std::mem::forget(tx);
+    let (_, rx) = mpsc::unbounded_channel();
     tokio::spawn(store::follow(host.clone(), rx));
     while host.config().is_none() || !host.searchers_loaded.load(Ordering::Relaxed) {
         sleep(10 * MS).await;
