Test of restored copies: ports that no outgoing connection takes

Its ports from 33,000 on are in the range that the kernel gives to outgoing connections (from 32,768 on), of which the other tests have many. The other fleets' ports are below it.

--- a/bin/galenaloftd/tests/processes.rs
+++ b/bin/galenaloftd/tests/processes.rs
@@ -54,7 +54,7 @@
 /// restarted in turn.
 #[tokio::test(flavor = "multi_thread")]
 async fn copies_of_outcomes_outlive_restarts_of_the_hosts_that_keep_them() {
-    let mut fleet = Fleet::start(33_000, 3).await;
+    let mut fleet = Fleet::start(30_400, 3).await;
     let ticket = fleet.ticket(0).await;
     let receipt = fleet.file(1, &ticket).await.unwrap();
     sleep(Duration::from_millis(500)).await;
