--- a/review/lib-3/standin.py
+++ b/review/lib-3/standin.py
@@ -92,6 +92,7 @@
         self.history = []  # (time, revision, key, value or None)
         self.beats = {}  # key -> time of the last write of a searcher
         self.down = False
+        self.silent = False
         self.server = None
         self.writers = set()
         self.calls = 0
@@ -124,13 +125,21 @@
         self.history.append((now, self.revision, key, value))
         return self.revision
 
-    def go_down(self):
+    def go_down(self, silent=False):
+        """Resets connections from now on or, if `silent`, answers nothing on them."""
         self.down = True
+        self.silent = silent
+        if not silent:
+            self._reset_all()
+
+    def _reset_all(self):
         for writer in list(self.writers):
             writer.transport.abort()
 
-    def come_back(self, age_s):
-        """Comes back from a copy that was taken `age_s` seconds ago."""
+    def come_back(self, age_s, lapse=False):
+        """Comes back from a copy that was taken `age_s` seconds ago. If `lapse`, the entries of
+        searchers have expired meanwhile, and are removed at once. Returns how many changes are lost."""
+        self._reset_all()
         taken = time.monotonic() - age_s
         kept = [change for change in self.history if change[0] <= taken]
         lost = len(self.history) - len(kept)
@@ -147,6 +156,9 @@
         self.beats = {key: now for key in self.items if key.startswith("servers/")}
         self.era += 1
         self.down = False
+        if lapse:
+            for key in list(self.beats):
+                self.delete(key)
         return lost
 
     async def expire(self):
@@ -162,13 +174,16 @@
                     self.record.line(f"store: {key} expired, revision {self.revision}")
 
     async def _client(self, reader, writer):
-        if self.down:
+        if self.down and not self.silent:
             writer.transport.abort()
             return
         self.writers.add(writer)
         try:
             while True:
                 head = await read_head(reader)
+                if self.down and self.silent:
+                    # Nothing further comes on this connection.
+                    await asyncio.sleep(3600)
                 if head is None or self.down:
                     break
                 self.calls += 1
@@ -251,6 +266,7 @@
         self.running = asyncio.Semaphore(slots)
         self.waiting = 0
         self.ran = []  # (time, request id)
+        self.retry_s = 0.3
         self.quiet = False
         self.bytes_in = 0
         self.writers = set()
@@ -298,7 +314,7 @@
                     self.store.put(self.key, self.entry())
                     self.store.beats[self.key] = time.monotonic()
                 except ConnectionError:
-                    wait = 0.3
+                    wait = self.retry_s
             await asyncio.sleep(wait)
 
     def headers(self, headers, extra):
