--- a/crates/edge/src/store/reader.rs
+++ b/crates/edge/src/store/reader.rs
@@ -17,6 +17,7 @@
 use galenaloft_policy::directory::Directory;
 use galenaloft_policy::directory::RevisionedChange;
 use galenaloft_policy::ids::ConfigVersion;
+use galenaloft_policy::ids::StoreEra;
 use galenaloft_policy::ids::StoreRevision;
 use galenaloft_policy::read_schedule::ReadSchedule;
 use galenaloft_policy::route::Configuration;
@@ -74,6 +75,8 @@
     schedule: ReadSchedule,
     /// Whether the store has failed since the last successful read.
     store_failed: bool,
+    /// Era of the store that was logged last.
+    logged_era: StoreEra,
     /// How the next read of the whole content is done: the first one may return an old state, since
     /// the changes after it are read at once.
     freshness: Freshness,
@@ -105,6 +108,7 @@
             revision: 0,
             schedule: ReadSchedule::default(),
             store_failed: false,
+            logged_era: 0,
             freshness: Freshness::MayBeOld,
             catch_up: ConfigCatchUp::default(),
         }
@@ -112,6 +116,7 @@
 
     /// Reads what changed in the store since the last read, or everything if no revision is known.
     async fn read_store(&mut self) {
+        let known = self.revision;
         let mut started_at = now();
         let mut result = match self.revision {
             0 => self.read_all().await,
@@ -130,6 +135,7 @@
             result = self.read_all().await;
         }
         let ended_at = now();
+        self.log_era(known);
         match result {
             Ok(()) => {
                 let is_first = self.schedule.age(started_at).is_none();
@@ -152,6 +158,16 @@
         }
     }
 
+    /// Logs the store's era if it is another one than after the last read, with the revision that was
+    /// known before this read.
+    fn log_era(&mut self, known: StoreRevision) {
+        let era = self.client.era();
+        if std::mem::replace(&mut self.logged_era, era) != era {
+            Event::new("store_era").with("era", era).with("known_revision", known).warn();
+            self.host.metrics.store_era(era);
+        }
+    }
+
     /// Reads and applies the changes after a revision, and publishes them to the other hosts.
     async fn read_changes(&mut self, after: StoreRevision) -> Result<(), StoreError> {
         // The store or a peer's view may have had searchers but no configuration before.
@@ -160,7 +176,7 @@
             self.adopt_configuration(update.configuration);
         }
         let update = self.client.changes(after).await?;
-        log_unreadable(&update);
+        self.log_unreadable(&update);
         // Applied first: whoever knows the revision that is published below knows these changes.
         self.apply_zone_changes(&update);
         self.adopt_configuration(update.configuration);
@@ -191,8 +207,9 @@
             Freshness::Current => Update { revision, ..Update::default() },
             Freshness::MayBeOld => self.client.changes(revision).await?,
         };
-        [&config, &listing, &changes].into_iter().for_each(log_unreadable);
+        [&config, &listing, &changes].into_iter().for_each(|update| self.log_unreadable(update));
         Event::new("store_loaded")
+            .with("era", self.client.era())
             .with("config_revision", config.revision)
             .with("list_revision", listing.revision)
             .with("searchers", listing.searchers.len())
@@ -284,7 +301,7 @@
             }
             ConfigSource::Store => match self.client.configuration(Freshness::Current).await {
                 Ok(update) => {
-                    log_unreadable(&update);
+                    self.log_unreadable(&update);
                     update.configuration
                 }
                 Err(e) => {
@@ -421,12 +438,16 @@
             });
         }
     }
-}
 
-/// Logs the store's items that cannot be read.
-fn log_unreadable(update: &Update) {
-    for item in &update.unreadable {
-        Event::new("store_item_unreadable").with("item", &item.item).with("why", &item.why).warn();
+    /// Logs and counts the store's items that cannot be read.
+    fn log_unreadable(&self, update: &Update) {
+        for item in &update.unreadable {
+            let event = Event::new("store_item_unreadable").with("item", &item.item);
+            event.with("why", &item.why).warn();
+        }
+        if !update.unreadable.is_empty() {
+            self.host.metrics.unreadable_items(update.unreadable.len());
+        }
     }
 }
 
--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -53,7 +53,11 @@
 /// Start time of a searcher, in Unix milliseconds; identifies one process of the searcher.
 pub type SearcherStartTime = u64;
 
-/// Revision of the platform's store, which grows with each change.
+/// Era of the platform's store, which rises each time the store comes back from a copy; 0 for a store
+/// that names none.
+pub type StoreEra = u32;
+
+/// Revision of the platform's store, which grows with each change within one era.
 pub type StoreRevision = u64;
 
 /// Requests a second.
--- a/crates/telemetry/src/metrics/recorder.rs
+++ b/crates/telemetry/src/metrics/recorder.rs
@@ -48,6 +48,8 @@
     outcomes: Counter<u64>,
     invalid_notices: Counter<u64>,
     evacuated_zones: Gauge<u64>,
+    store_era: Gauge<u64>,
+    unreadable_items: Counter<u64>,
     suspected_requests: Gauge<u64>,
     refusals: Counter<u64>,
     admitted_shares: Gauge<f64>,
@@ -82,6 +84,8 @@
             outcomes: meter.u64_counter("galenaloft_requests").build(),
             invalid_notices: meter.u64_counter("galenaloft_invalid_notices").build(),
             evacuated_zones: meter.u64_gauge("galenaloft_evacuated_zones").build(),
+            store_era: meter.u64_gauge("galenaloft_store_era").build(),
+            unreadable_items: meter.u64_counter("galenaloft_store_unreadable_items").build(),
             suspected_requests: meter.u64_gauge("galenaloft_suspected_requests").build(),
             refusals: meter.u64_counter("galenaloft_refusals").build(),
             admitted_shares: meter.f64_gauge("galenaloft_admitted_share").build(),
@@ -139,6 +143,16 @@
         self.evacuated_zones.record(count as u64, &[]);
     }
 
+    /// Sets the era of the store.
+    pub fn store_era(&self, era: u32) {
+        self.store_era.record(u64::from(era), &[]);
+    }
+
+    /// Counts items of the store that cannot be decoded.
+    pub fn unreadable_items(&self, count: usize) {
+        self.unreadable_items.add(count as u64, &[]);
+    }
+
     /// Sets how many requests are suspected of crashing searchers, and how many are refused for it.
     pub fn suspected_requests(&self, suspected: usize, quarantined: usize) {
         for (state, count) in [("suspected", suspected), ("quarantined", quarantined)] {
