--- a/bin/galenaloft-edge/tests/edge/changes.rs
+++ b/bin/galenaloft-edge/tests/edge/changes.rs
@@ -371,3 +371,34 @@
     let late = leaving.arrivals().iter().filter(|a| a.at > left_at + 3_000 * MS).count();
     assert_eq!(late, 0);
 }
+
+/// Plays a restore: the store is away for a second and comes back from the copy of a revision.
+async fn restore(platform: &Scene, copy: u64) {
+    platform.store.set_fault(StoreFault::Refuse(503));
+    sleep(1_000 * MS).await;
+    platform.store.restore(copy);
+    platform.store.set_fault(StoreFault::None);
+}
+
+/// Guards against a configuration that no host adopts (review/12): it is written as the store is back
+/// from a copy, and the store then passes the revision that the hosts knew before.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_written_after_the_store_came_back_from_a_copy_is_in_force_in_time() {
+    let platform = start_platform().await;
+    let hosts = three_hosts(&platform, 28730).await;
+    let copy = platform.store.revision();
+    platform.singles.iter().for_each(Searcher::register_again);
+    sleep(2_000 * MS).await;
+    restore(&platform, copy).await;
+    let mut config = platform.configuration(9);
+    config["routes"][1]["service"] = json!(shard_name(0));
+    platform.configure(&config);
+    (0..200).for_each(|_| platform.singles[0].register_again());
+    sleep(4_000 * MS).await;
+    let before: usize = platform.singles.iter().map(Searcher::runs).sum();
+    for host in &hosts {
+        assert_eq!(host.get(FETCH_PATH).await.status, 200);
+    }
+    let after: usize = platform.singles.iter().map(Searcher::runs).sum();
+    assert_eq!(after, before, "requests were run by the service of the older configuration");
+}
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -24,7 +24,6 @@
 use galenaloft_policy::ids::HostId;
 use galenaloft_policy::ids::RouteName;
 use galenaloft_policy::ids::ServiceId;
-use galenaloft_policy::ids::StoreRevision;
 use galenaloft_policy::quarantine::Crash;
 use galenaloft_policy::quarantine::Quarantine;
 use galenaloft_policy::readiness::HostCondition;
@@ -38,6 +37,7 @@
 use galenaloft_policy::route::WeightedService;
 use galenaloft_policy::routing::LatencyEstimate;
 use galenaloft_policy::routing::SharingHosts;
+use galenaloft_policy::store_position::StorePosition;
 use galenaloft_runtime::clock::now;
 use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
@@ -75,8 +75,8 @@
 pub struct KnownSearchers {
     /// Searchers, each with its revision.
     pub searchers: Vec<RevisionedChange>,
-    /// Store revision up to which changes are included.
-    pub revision: StoreRevision,
+    /// Position of the store up to which changes are included.
+    pub position: StorePosition,
     /// Time at which the list was last known to be up to date.
     pub as_of: Instant,
 }
@@ -367,7 +367,7 @@
             config: self.config().map(|config| (*config).clone()),
             searchers: known.searchers,
             evacuations: self.evacuations(),
-            revision: known.revision,
+            position: known.position,
             age: now().saturating_duration_since(known.as_of),
         })
     }
--- a/crates/edge/src/peers/members.rs
+++ b/crates/edge/src/peers/members.rs
@@ -409,12 +409,12 @@
     }
 
     /// Queues a store update for sending. An update that continues the queued one is appended to
-    /// it, any other one replaces it: receivers notice the gap in the revisions and read the missing
+    /// it, any other one replaces it: receivers notice the gap in the positions and read the missing
     /// changes themselves.
     pub fn publish_update(&self, update: StoreUpdate) {
         let mut pending = lock(&self.pending_update);
         *pending = Some(match pending.take() {
-            Some(mut earlier) if earlier.revision == update.after => {
+            Some(mut earlier) if earlier.position == update.after => {
                 earlier.changes.extend(update.changes);
                 StoreUpdate { changes: earlier.changes, after: earlier.after, ..update }
             }
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -23,6 +23,7 @@
 use galenaloft_policy::quarantine::Crash;
 use galenaloft_policy::quarantine::CrashDigest;
 use galenaloft_policy::route::Configuration;
+use galenaloft_policy::store_position::StorePosition;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -99,13 +100,13 @@
     Leaving(SearcherRun),
 }
 
-/// Changes of the store between two revisions.
+/// Changes of the store between two positions of one era.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct StoreUpdate {
-    /// Revision up to which the sender knew the store before.
-    pub after: StoreRevision,
-    /// Revision up to which the changes were read.
-    pub revision: StoreRevision,
+    /// Position up to which the sender knew the store before.
+    pub after: StorePosition,
+    /// Position up to which the changes were read.
+    pub position: StorePosition,
     /// Changes of searchers' entries, without mere heartbeats.
     pub changes: Vec<RevisionedChange>,
     /// How long ago the store answered again after a failure. Set only while entries may be missing
@@ -122,13 +123,14 @@
         let mut after = self.after;
         let mut updates: Vec<Self> = Vec::new();
         for changes in self.changes.chunks(max_changes) {
-            let revision = changes.last().map_or(after, |change| change.revision.max(after));
+            let last = changes.last().map_or(after.revision, |change| change.revision);
+            let position = after.max(StorePosition { revision: last, ..after });
             let returned_ago = self.returned_ago;
-            updates.push(Self { after, revision, changes: changes.to_vec(), returned_ago });
-            after = revision;
+            updates.push(Self { after, position, changes: changes.to_vec(), returned_ago });
+            after = position;
         }
         match updates.last_mut() {
-            Some(last) => last.revision = self.revision,
+            Some(last) => last.position = self.position,
             None => updates.push(self),
         }
         updates
@@ -162,9 +164,9 @@
     pub leaving: Vec<SearcherRun>,
     /// Evacuated zones, and zones whose evacuation has ended.
     pub evacuations: Evacuations,
-    /// Revision up to which the changes are known.
-    pub revision: StoreRevision,
-    /// Time since the store was last known to be at that revision.
+    /// Position of the store up to which the changes are known.
+    pub position: StorePosition,
+    /// Time since the store was last known to be at that position.
     pub age: Duration,
 }
 
--- a/crates/edge/src/peers/messages/tests.rs
+++ b/crates/edge/src/peers/messages/tests.rs
@@ -9,7 +9,11 @@
         RevisionedChange { change, revision }
     };
     let changes: Vec<RevisionedChange> = revisions.map(change).collect();
-    StoreUpdate { after, revision: 4_000, changes, returned_ago: None }
+    StoreUpdate { after: at(after), position: at(4_000), changes, returned_ago: None }
+}
+
+fn at(revision: StoreRevision) -> StorePosition {
+    StorePosition { era: 3, revision }
 }
 
 /// A repartition of a large index changes thousands of entries within a second.
@@ -21,13 +25,13 @@
     let mut after = whole.after;
     for part in &parts {
         assert_eq!(part.after, after);
-        after = part.revision;
-        let in_range =
-            |change: &RevisionedChange| (part.after + 1..=part.revision).contains(&change.revision);
+        after = part.position;
+        let range = part.after.revision + 1..=part.position.revision;
+        let in_range = |change: &RevisionedChange| range.contains(&change.revision);
         assert!(part.changes.iter().all(in_range));
         assert!(bincode::serialize(part).unwrap().len() < 20 * 1024);
     }
-    assert_eq!(after, whole.revision);
+    assert_eq!(after, whole.position);
     let changes: Vec<RevisionedChange> = parts.into_iter().flat_map(|part| part.changes).collect();
     assert_eq!(changes, whole.changes);
 }
@@ -36,7 +40,7 @@
 fn an_update_without_changes_is_still_sent() {
     let parts = update(1_000, std::iter::empty()).split(100);
     assert_eq!(parts.len(), 1);
-    assert_eq!((parts[0].after, parts[0].revision), (1_000, 4_000));
+    assert_eq!((parts[0].after, parts[0].position), (at(1_000), at(4_000)));
 }
 
 fn written(id: &str, state: SearcherState) -> Change {
--- a/crates/edge/src/peers/relay/tests.rs
+++ b/crates/edge/src/peers/relay/tests.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use galenaloft_config::edge::EdgeSettings;
+use galenaloft_policy::store_position::StorePosition;
 use tokio::net::TcpListener;
 
 use super::*;
@@ -14,7 +15,8 @@
     let text = "host: h1\nzone: a\nlisten:\n  callers: 127.0.0.1:1\n  readiness: 127.0.0.1:2\n  peers: \
                 127.0.0.1:3\n  metrics: 127.0.0.1:4\nstore: 127.0.0.1:5\n";
     let host = Arc::new(Host::new(EdgeSettings::parse("h1.yaml", text).unwrap(), 1));
-    let known = KnownSearchers { searchers: Vec::new(), revision: 7, as_of: now() };
+    let position = StorePosition { era: 1, revision: 7 };
+    let known = KnownSearchers { searchers: Vec::new(), position, as_of: now() };
     *lock(&host.known_searchers) = Some(known);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -26,5 +28,5 @@
     let limit = Duration::from_millis(900);
     assert!(relays.fetch_store_view(address, limit).await.is_none());
     let view = relays.fetch_store_view(address, limit).await;
-    assert_eq!(view.map(|view| view.revision), Some(7));
+    assert_eq!(view.map(|view| view.position), Some(position));
 }
--- a/crates/edge/src/store/reader.rs
+++ b/crates/edge/src/store/reader.rs
@@ -18,9 +18,9 @@
 use galenaloft_policy::directory::RevisionedChange;
 use galenaloft_policy::ids::ConfigVersion;
 use galenaloft_policy::ids::StoreEra;
-use galenaloft_policy::ids::StoreRevision;
 use galenaloft_policy::read_schedule::ReadSchedule;
 use galenaloft_policy::route::Configuration;
+use galenaloft_policy::store_position::StorePosition;
 use galenaloft_runtime::clock::now;
 use galenaloft_runtime::clock::sleep_until;
 use galenaloft_runtime::sync::lock;
@@ -69,9 +69,9 @@
     host: Arc<Host>,
     client: StoreClient,
     directory: Directory,
-    /// Revision up to which the changes of searchers and of the configuration are known; 0 if all
+    /// Position up to which the changes of searchers and of the configuration are known; `None` if all
     /// entries have to be read first.
-    revision: StoreRevision,
+    position: Option<StorePosition>,
     schedule: ReadSchedule,
     /// Whether the store has failed since the last successful read.
     store_failed: bool,
@@ -105,7 +105,7 @@
                 .with_evacuation(host.settings.evacuation),
             host,
             directory: Directory::default(),
-            revision: 0,
+            position: None,
             schedule: ReadSchedule::default(),
             store_failed: false,
             logged_era: 0,
@@ -114,19 +114,26 @@
         }
     }
 
-    /// Reads what changed in the store since the last read, or everything if no revision is known.
+    /// Reads what changed in the store since the last read, or everything if no position is known or
+    /// the store came back from a copy.
     async fn read_store(&mut self) {
-        let known = self.revision;
+        let known = self.position;
         let mut started_at = now();
-        let mut result = match self.revision {
-            0 => self.read_all().await,
-            after => self.read_changes(after).await,
+        let mut result = match self.position {
+            None => self.read_all().await,
+            Some(after) => match self.read_changes(after).await {
+                Err(StoreError::EraRose(_)) => {
+                    self.freshness = Freshness::Current;
+                    self.read_all().await
+                }
+                result => result,
+            },
         };
         // The store may be silent about changes only, before it loses their history. That is no outage
         // in which entries expire.
         if let Err(e) = &result
             && e.is_silence()
-            && self.revision > 0
+            && self.position.is_some()
             && !self.store_failed
         {
             Event::new("store_changes_silent").with("why", e).info();
@@ -144,32 +151,29 @@
                     self.schedule.record_first_read(started_at, rand::random());
                 }
                 if std::mem::take(&mut self.store_failed) {
-                    Event::new("store_back").with("revision", self.revision).info();
+                    let position = self.position.unwrap_or_default();
+                    Event::new("store_back").with("position", position).info();
                 }
             }
-            Err(StoreError::HistoryGone) => {
-                Event::new("store_history_gone").with("revision", self.revision).info();
-                // The store has compacted the changes after this revision; the next read loads
-                // everything.
-                self.revision = 0;
-                self.freshness = Freshness::Current;
-            }
-            Err(e) => self.handle_failure(&e, ended_at).await,
+            Err(e) => self.handle_error(&e, ended_at).await,
         }
     }
 
-    /// Logs the store's era if it is another one than after the last read, with the revision that was
-    /// known before this read.
-    fn log_era(&mut self, known: StoreRevision) {
+    /// Logs the store's era if it is another one than after the last read, with the position
+    /// that was known before this read.
+    fn log_era(&mut self, known: Option<StorePosition>) {
         let era = self.client.era();
         if std::mem::replace(&mut self.logged_era, era) != era {
-            Event::new("store_era").with("era", era).with("known_revision", known).warn();
+            Event::new("store_era")
+                .with("era", era)
+                .with("known", known.unwrap_or_default())
+                .warn();
             self.host.metrics.store_era(era);
         }
     }
 
-    /// Reads and applies the changes after a revision, and publishes them to the other hosts.
-    async fn read_changes(&mut self, after: StoreRevision) -> Result<(), StoreError> {
+    /// Reads and applies the changes after a position, and publishes them to the other hosts.
+    async fn read_changes(&mut self, after: StorePosition) -> Result<(), StoreError> {
         // The store or a peer's view may have had searchers but no configuration before.
         if self.host.config().is_none() {
             let update = self.client.configuration(Freshness::Current).await?;
@@ -177,19 +181,20 @@
         }
         let update = self.client.changes(after).await?;
         self.log_unreadable(&update);
-        // Applied first: whoever knows the revision that is published below knows these changes.
+        // Applied first: whoever knows the position that is published below knows these changes.
         self.apply_zone_changes(&update);
         self.adopt_configuration(update.configuration);
         let changes = self.apply(update.searchers, now());
-        self.revision = self.revision.max(update.revision);
+        let position = update.position.unwrap_or(after).max(after);
+        self.position = Some(position);
         let returned_ago = self.directory.time_since_store_recovery(now());
-        let store_update = StoreUpdate { after, revision: self.revision, changes, returned_ago };
+        let store_update = StoreUpdate { after, position, changes, returned_ago };
         self.host.peers.publish_update(store_update);
         Ok(())
     }
 
-    /// Reads the configuration and all searchers. Changes are followed from the smaller one of their
-    /// revisions on, so that none between the two is missed: the configuration is read first, but
+    /// Reads the configuration and all searchers. Changes are followed from the earlier one of their
+    /// positions on, so that none between the two is missed: the configuration is read first, but
     /// answers that may be old can come from replicas of different age. An old state is brought up to
     /// date before it is used.
     async fn read_all(&mut self) -> Result<(), StoreError> {
@@ -199,32 +204,32 @@
             self.replace_evacuated_zones(&config);
         }
         let listing = self.client.searchers(self.freshness).await?;
-        let revision = match config.revision {
-            0 => listing.revision,
-            revision => revision.min(listing.revision),
-        };
+        let listed_at = listing.position.unwrap_or_default();
+        let position = config.position.map_or(listed_at, |config| config.min(listed_at));
+        if position.era < listed_at.era {
+            return Err(StoreError::EraRose(listed_at.era));
+        }
         let changes = match self.freshness {
-            Freshness::Current => Update { revision, ..Update::default() },
-            Freshness::MayBeOld => self.client.changes(revision).await?,
+            Freshness::Current => Update { position: Some(position), ..Update::default() },
+            Freshness::MayBeOld => self.client.changes(position).await?,
         };
         [&config, &listing, &changes].into_iter().for_each(|update| self.log_unreadable(update));
         Event::new("store_loaded")
-            .with("era", self.client.era())
-            .with("config_revision", config.revision)
-            .with("list_revision", listing.revision)
+            .with("config_position", config.position.unwrap_or_default())
+            .with("list_position", listed_at)
             .with("searchers", listing.searchers.len())
-            .with("revision", changes.revision)
+            .with("position", changes.position.unwrap_or_default())
             .with("changes", changes.searchers.len())
             .info();
         let now = now();
         self.replace_evacuated_zones(&config);
         self.apply_zone_changes(&changes);
         self.adopt_configuration(changes.configuration.or(config.configuration));
-        let mut changed = self.directory.replace(listing.searchers, revision, now);
+        let mut changed = self.directory.replace(listing.searchers, position.revision, now);
         for change in changes.searchers {
             changed |= self.directory.apply(change, now) == ChangeEffect::Changed;
         }
-        self.revision = changes.revision;
+        self.position = changes.position;
         self.publish_searchers(changed);
         self.host.searchers_loaded.store(true, Ordering::Relaxed);
         Ok(())
@@ -241,7 +246,8 @@
     /// Takes over the whole list of evacuated zones, if it was read.
     fn replace_evacuated_zones(&self, listing: &Update) {
         if self.host.settings.evacuation
-            && self.host.replace_evacuated_zones(&listing.zones, listing.revision)
+            && let Some(position) = listing.position
+            && self.host.replace_evacuated_zones(&listing.zones, position.revision)
         {
             self.host.peers.announce_zone_changes();
         }
@@ -254,7 +260,32 @@
         }
     }
 
-    /// Records and logs that the store failed. If this host has no revision to continue from,
+    /// Prepares the next read after one that failed.
+    async fn handle_error(&mut self, e: &StoreError, now: Instant) {
+        match e {
+            StoreError::HistoryGone => {
+                let position = self.position.unwrap_or_default();
+                Event::new("store_history_gone").with("position", position).info();
+                // The store has compacted the changes after this position; the next read loads
+                // everything.
+                self.position = None;
+                self.freshness = Freshness::Current;
+            }
+            // No outage. The position stays, so that changes that other hosts read are still applied.
+            StoreError::EraRose(_) | StoreError::Outdated(_, _) => {
+                Event::new("store_read_again").with("why", e).warn();
+                self.host.metrics.store_read_again();
+                self.freshness = Freshness::Current;
+                self.schedule.record_failed(now);
+            }
+            StoreError::Http(_)
+            | StoreError::TimedOut
+            | StoreError::Refused(_)
+            | StoreError::Unreadable(_) => self.handle_failure(e, now).await,
+        }
+    }
+
+    /// Records and logs that the store failed. If this host has no position to continue from,
     /// requests the store's content from its peers.
     async fn handle_failure(&mut self, e: &StoreError, now: Instant) {
         self.schedule.record_failed(now);
@@ -262,7 +293,7 @@
         if !std::mem::replace(&mut self.store_failed, true) {
             Event::new("store_away").with("why", e).warn();
         }
-        if self.revision == 0 {
+        if self.position.is_none() {
             self.ask_peers().await;
         }
     }
@@ -305,7 +336,7 @@
                     update.configuration
                 }
                 Err(e) => {
-                    self.handle_failure(&e, now()).await;
+                    self.handle_error(&e, now()).await;
                     None
                 }
             },
@@ -321,29 +352,30 @@
         }
     }
 
-    /// Applies changes that another host read, unless this host has not loaded the searchers yet.
-    /// `sender_config` is the version of that host's configuration.
+    /// Applies changes that another host read, unless this host has not loaded the searchers yet or
+    /// knows a later era of the store. `sender_config` is the version of that host's configuration.
     fn apply_update(&mut self, update: StoreUpdate, sender_config: ConfigVersion) {
-        if self.revision == 0 {
+        let Some(known) = self.position.filter(|known| update.position.era >= known.era) else {
             return;
-        }
+        };
         let received_at = now();
         if let Some(at) = update.returned_ago.and_then(|ago| received_at.checked_sub(ago)) {
             self.directory.record_unnoticed_outage(at);
         }
         let changes = self.apply(update.changes, received_at);
-        // An update does not carry the configuration, which may have changed up to its revision. If
-        // that or an earlier change is missing, the revision stays and the next read fetches it.
+        // An update does not carry the configuration, which may have changed up to its position. If
+        // that or an earlier change is missing, the position stays and the next read fetches it. In a
+        // later era it does not carry what changed with the era either.
         let own_config = self.host.config_version();
         if sender_config > own_config {
             Event::new("store_update_without_config")
-                .with("revision", update.revision)
-                .with("own_revision", self.revision)
+                .with("position", update.position)
+                .with("own_position", known)
                 .with("config", sender_config)
                 .with("own_config", own_config)
                 .info();
-        } else if update.after <= self.revision {
-            self.revision = self.revision.max(update.revision);
+        } else if update.after <= known && update.position.era == known.era {
+            self.position = Some(known.max(update.position));
             self.record_known_up_to(received_at);
         }
         if !changes.is_empty() {
@@ -358,7 +390,7 @@
             if let Some(view) = self.host.relays.fetch_store_view(address, PEER_TIMEOUT).await {
                 Event::new("store_known_by_peer")
                     .with("peer", address)
-                    .with("revision", view.revision)
+                    .with("position", view.position)
                     .with("age_ms", view.age.as_millis())
                     .info();
                 self.adopt_view(view);
@@ -372,15 +404,15 @@
     fn adopt_view(&mut self, view: StoreView) {
         self.host.merge_evacuations(&view.evacuations);
         self.adopt_configuration(view.config);
-        if self.revision > 0 || view.revision == 0 {
+        if self.position.is_some() {
             return;
         }
         for run in &view.leaving {
             self.host.fleet.record_leaving(run);
         }
         let now = now();
-        let changed = self.directory.replace(view.searchers, view.revision, now);
-        self.revision = view.revision;
+        let changed = self.directory.replace(view.searchers, view.position.revision, now);
+        self.position = Some(view.position);
         self.publish_searchers(changed);
         self.host.searchers_loaded.store(true, Ordering::Relaxed);
     }
@@ -421,7 +453,7 @@
         let expired = self.directory.drop_expired(now);
         self.publish_searchers(expired);
         if let Some(known) = lock(&self.host.known_searchers).as_mut() {
-            known.revision = self.revision;
+            known.position = self.position.unwrap_or(known.position);
             known.as_of = at;
         }
     }
@@ -433,7 +465,7 @@
             self.host.fleet.update(&self.directory);
             *lock(&self.host.known_searchers) = Some(KnownSearchers {
                 searchers: self.directory.revisioned_entries(),
-                revision: self.revision,
+                position: self.position.unwrap_or_default(),
                 as_of: now(),
             });
         }
--- a/crates/edge/src/store/reader/tests.rs
+++ b/crates/edge/src/store/reader/tests.rs
@@ -25,8 +25,18 @@
 
 /// An update of another host without changes of searchers, from the revision that the reader has.
 fn next_update(reader: &StoreReader) -> StoreUpdate {
-    let after = reader.revision;
-    StoreUpdate { after, revision: after + 1, changes: Vec::new(), returned_ago: None }
+    update_after(reader.position.unwrap())
+}
+
+/// An update of another host without changes of searchers, for the next revision after a position.
+fn update_after(after: StorePosition) -> StoreUpdate {
+    let position = StorePosition { revision: after.revision + 1, ..after };
+    StoreUpdate { after, position, changes: Vec::new(), returned_ago: None }
+}
+
+/// Returns the revision of the store up to which a reader knows it.
+fn known_revision(reader: &StoreReader) -> u64 {
+    reader.position.unwrap().revision
 }
 
 /// Guards against a changed configuration that is lost with the host that read it: its update moved
@@ -52,19 +62,18 @@
 async fn later_updates_do_not_move_past_a_missing_configuration() {
     let (scene, mut reader) = start().await;
     reader.read_store().await;
-    let position = reader.revision;
+    let position = reader.position.unwrap();
     scene.configure(&scene.configuration(2));
     scene.singles[0].drain();
     let first = next_update(&reader);
-    let second =
-        StoreUpdate { after: first.revision, revision: first.revision + 1, ..first.clone() };
+    let second = update_after(first.position);
     for update in [first, second] {
         reader.handle_notice(PeerNotice::StoreUpdate { update, config: 2 }).await;
-        assert_eq!(reader.revision, position);
+        assert_eq!(reader.position, Some(position));
     }
     reader.read_store().await;
     assert_eq!(reader.host.config_version(), 2);
-    assert_eq!(reader.revision, position + 2);
+    assert_eq!(known_revision(&reader), position.revision + 2);
 }
 
 /// Guards against a searcher that is used after a restart though its entry was gone before: the list
@@ -84,7 +93,7 @@
         };
         scene.store.answer_from_replicas(replicas);
         reader.read_store().await;
-        assert!(reader.revision >= new, "{} {new}", reader.revision);
+        assert!(known_revision(&reader) >= new, "{} {new}", known_revision(&reader));
         let mut listed = reader.directory.entries();
         assert!(listed.all(|entry| &*entry.id != "a0"), "config_is_newer {config_is_newer}");
     }
@@ -106,10 +115,10 @@
     let (scene, mut reader) = start().await;
     reader.read_store().await;
     let update = next_update(&reader);
-    let revision = update.revision;
+    let position = update.position;
     scene.store.set_fault(StoreFault::Silent);
     reader.handle_notice(PeerNotice::StoreUpdate { update, config: 1 }).await;
-    assert_eq!(reader.revision, revision);
+    assert_eq!(reader.position, Some(position));
 }
 
 const EVACUATION: &str = "evacuation: true\n";
@@ -183,3 +192,86 @@
         assert!(reader.host.fleet.service(&"archive".into()).has_permitted_searcher());
     }
 }
+
+/// Writes the entry of some searcher so often, as heartbeats do.
+fn write_heartbeats(scene: &Scene, count: u64) {
+    (0..count).for_each(|_| scene.singles[1].register_again());
+}
+
+/// Guards against a configuration that is never adopted (review/12): the store came back from a copy and
+/// has passed, has reached or is still below the revision that the reader knew.
+#[tokio::test]
+async fn a_configuration_of_the_restored_store_is_adopted_whatever_its_revision() {
+    for written_since in [0, 1, 2, 3, 40] {
+        let (scene, mut reader) = start().await;
+        let copy = scene.store.revision();
+        write_heartbeats(&scene, 3);
+        reader.read_store().await;
+        assert_eq!(known_revision(&reader), copy + 3);
+        scene.store.restore(copy);
+        scene.configure(&scene.configuration(2));
+        write_heartbeats(&scene, written_since);
+        reader.read_store().await;
+        assert_eq!(reader.host.config_version(), 2, "{written_since}");
+        let position = StorePosition { era: 2, revision: copy + 1 + written_since };
+        assert_eq!(reader.position, Some(position));
+    }
+}
+
+/// Guards against an older configuration that comes back with the copy, and against one of a later era
+/// that is missed after two restores.
+#[tokio::test]
+async fn the_greatest_configuration_stays_in_force_over_two_restores() {
+    let (scene, mut reader) = start().await;
+    let copy = scene.store.revision();
+    scene.configure(&scene.configuration(5));
+    reader.read_store().await;
+    scene.store.restore(copy);
+    reader.read_store().await;
+    assert_eq!(reader.host.config_version(), 5);
+    scene.configure(&scene.configuration(5));
+    let second_copy = scene.store.revision();
+    scene.configure(&scene.configuration(8));
+    scene.store.restore(second_copy);
+    scene.configure(&scene.configuration(7));
+    write_heartbeats(&scene, 9);
+    reader.read_store().await;
+    assert_eq!(reader.host.config_version(), 7);
+    assert_eq!(reader.position.unwrap().era, 3);
+}
+
+/// Guards against a host that follows the updates of others into the restored store's history without
+/// having read what changed with it.
+#[tokio::test]
+async fn an_update_of_another_era_does_not_move_the_position() {
+    let (scene, mut reader) = start().await;
+    reader.read_store().await;
+    let known = reader.position.unwrap();
+    let later = StorePosition { era: 2, revision: 2 };
+    let earlier = StorePosition { era: 0, revision: 999 };
+    for update in [update_after(later), update_after(earlier)] {
+        reader.handle_notice(PeerNotice::StoreUpdate { update, config: 1 }).await;
+        assert_eq!(reader.position, Some(known));
+    }
+    scene.store.restore(known.revision - 1);
+    scene.configure(&scene.configuration(2));
+    reader.read_store().await;
+    assert_eq!(reader.host.config_version(), 2);
+}
+
+/// Guards against a first read, whose answers may be old, that mixes two eras, and against a restore that
+/// counts as an outage without end.
+#[tokio::test]
+async fn a_first_read_over_two_eras_is_repeated_with_current_answers() {
+    for eras in [["1", "2", "2", "2", "2"], ["2", "1", "1", "1", "1"], ["1", "1", "1", "1", "2"]] {
+        let (scene, mut reader) = start().await;
+        scene.store.state_eras_in_turn(&eras.map(|era| vec![era]));
+        reader.read_store().await;
+        assert_eq!((reader.position, reader.freshness), (None, Freshness::Current), "{eras:?}");
+        assert!(!reader.store_failed);
+        scene.store.state_eras_in_turn(&[vec!["2"]]);
+        reader.read_store().await;
+        assert_eq!(reader.position.map(|position| position.era), Some(2), "{eras:?}");
+        assert_eq!(reader.host.config_version(), 1);
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod revision;
 pub mod route;
 pub mod routing;
+pub mod store_position;
 pub mod ticket;
 pub mod verdict;
--- a/crates/telemetry/src/metrics/recorder.rs
+++ b/crates/telemetry/src/metrics/recorder.rs
@@ -50,6 +50,7 @@
     evacuated_zones: Gauge<u64>,
     store_era: Gauge<u64>,
     unreadable_items: Counter<u64>,
+    store_reads_again: Counter<u64>,
     suspected_requests: Gauge<u64>,
     refusals: Counter<u64>,
     admitted_shares: Gauge<f64>,
@@ -86,6 +87,7 @@
             evacuated_zones: meter.u64_gauge("galenaloft_evacuated_zones").build(),
             store_era: meter.u64_gauge("galenaloft_store_era").build(),
             unreadable_items: meter.u64_counter("galenaloft_store_unreadable_items").build(),
+            store_reads_again: meter.u64_counter("galenaloft_store_reads_again").build(),
             suspected_requests: meter.u64_gauge("galenaloft_suspected_requests").build(),
             refusals: meter.u64_counter("galenaloft_refusals").build(),
             admitted_shares: meter.f64_gauge("galenaloft_admitted_share").build(),
@@ -148,6 +150,11 @@
         self.store_era.record(u64::from(era), &[]);
     }
 
+    /// Counts reads of the store that are repeated because its answers were of different eras.
+    pub fn store_read_again(&self) {
+        self.store_reads_again.add(1, &[]);
+    }
+
     /// Counts items of the store that cannot be decoded.
     pub fn unreadable_items(&self, count: usize) {
         self.unreadable_items.add(count as u64, &[]);
