--- a/bin/galenaloft-edge/tests/edge/evacuation.rs
+++ b/bin/galenaloft-edge/tests/edge/evacuation.rs
@@ -313,3 +313,52 @@
     sleep(2_500 * MS).await;
     wait_until_used(&platform, &edge, "a").await;
 }
+
+/// Guards against an evacuation that no host obeys (review/13): the store came back from a copy, and its
+/// revision is below that of the end of an earlier evacuation. One host cannot read the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn zone_that_is_evacuated_after_the_store_came_back_from_a_copy_gets_nothing() {
+    let platform = Scene::start(&in_zones(&["a", "b"])).await.unwrap();
+    let reader = start(&platform, "b", 1, 28740).await;
+    let store: SocketAddr = NO_STORE.parse().unwrap();
+    let blind = start_with(edge::Spec { store, ..spec(&platform, "a", 2, 28740) }).await;
+    let copy = platform.store.revision();
+    platform.store.evacuate("a");
+    sleep(1_500 * MS).await;
+    platform.store.end_evacuation("a");
+    for host in [&reader, &blind] {
+        wait_until_used(&platform, host, "a").await;
+    }
+    platform.store.set_fault(StoreFault::Refuse(503));
+    sleep(500 * MS).await;
+    platform.store.restore(copy);
+    platform.store.set_fault(StoreFault::None);
+    sleep(1_000 * MS).await;
+    platform.store.evacuate("a");
+    let evacuated_at = Instant::now();
+    call_for(&[&reader, &blind], EVACUATION_TIME + 1_500 * MS).await;
+    assert_untouched_since(&platform, "a", evacuated_at + EVACUATION_TIME);
+    platform.store.end_evacuation("a");
+    for host in [&reader, &blind] {
+        wait_until_used(&platform, host, "a").await;
+    }
+}
+
+/// Guards against a zone that gets requests although its evacuation was not taken back: the store came
+/// back from a copy that is older than the evacuation, and the operator writes it again later.
+#[tokio::test(flavor = "multi_thread")]
+async fn zone_stays_evacuated_until_the_operator_has_written_that_again() {
+    let platform = Scene::start(&in_zones(&["a", "b"])).await.unwrap();
+    let edge = start(&platform, "a", 1, 28750).await;
+    let copy = platform.store.revision();
+    platform.store.evacuate("a");
+    let evacuated_at = Instant::now();
+    call_for(&[&edge], EVACUATION_TIME).await;
+    platform.store.restore(copy);
+    call_for(&[&edge], 2_000 * MS).await;
+    platform.store.evacuate("a");
+    call_for(&[&edge], 5_000 * MS).await;
+    assert_untouched_since(&platform, "a", evacuated_at + EVACUATION_TIME);
+    platform.store.end_evacuation("a");
+    wait_until_used(&platform, &edge, "a").await;
+}
--- a/crates/edge/src/evacuation.rs
+++ b/crates/edge/src/evacuation.rs
@@ -1,9 +1,11 @@
 //! What this host knows of evacuated zones, and its effect on the searchers.
 
+use std::time::Instant;
+
 use galenaloft_policy::evacuation::Evacuations;
 use galenaloft_policy::evacuation::ZoneChange;
 use galenaloft_policy::ids::HostId;
-use galenaloft_policy::ids::StoreRevision;
+use galenaloft_policy::store_position::StorePosition;
 use galenaloft_runtime::sync::lock;
 use galenaloft_telemetry::log::Event;
 
@@ -27,16 +29,27 @@
         })
     }
 
-    /// Applies a complete list of the evacuated zones, read from the store at `revision` or later.
+    /// Applies a complete list of the evacuated zones, read from the store at `position` or later.
     /// Returns whether some evacuation began or ended.
-    pub fn replace_evacuated_zones(&self, listed: &[ZoneChange], revision: StoreRevision) -> bool {
+    pub fn replace_evacuated_zones(
+        &self,
+        listed: &[ZoneChange],
+        position: StorePosition,
+        now: Instant,
+    ) -> bool {
         let source = ZoneChangeSource::Store;
-        self.update_evacuations(source, |state| state.replace(listed, revision))
+        self.update_evacuations(source, |state| state.replace(listed, position, now))
+    }
+
+    /// Ends the evacuations that the store lost by coming back from a copy and that were not written
+    /// again in time. Returns whether some ended.
+    pub fn end_lost_evacuations(&self, now: Instant) -> bool {
+        self.update_evacuations(ZoneChangeSource::Store, |state| state.end_lost(now))
     }
 
     /// Adds everything that another host knows of evacuations. Returns whether some began or ended.
-    pub fn merge_evacuations(&self, other: &Evacuations) -> bool {
-        self.update_evacuations(ZoneChangeSource::Peer(None), |state| state.merge(other))
+    pub fn merge_evacuations(&self, other: &Evacuations, now: Instant) -> bool {
+        self.update_evacuations(ZoneChangeSource::Peer(None), |state| state.merge(other, now))
     }
 
     /// Returns the state of evacuations for a host that starts.
@@ -79,7 +92,7 @@
         true => "zone_evacuated",
         false => "zone_evacuation_ended",
     };
-    let event = Event::new(name).with("zone", &change.zone).with("revision", change.revision);
+    let event = Event::new(name).with("zone", &change.zone).with("revision", change.position);
     match source {
         ZoneChangeSource::Store => event.with("source", "store"),
         ZoneChangeSource::Peer(None) => event.with("source", "peer"),
--- a/crates/edge/src/peers/gossip/tests.rs
+++ b/crates/edge/src/peers/gossip/tests.rs
@@ -1,6 +1,7 @@
 use galenaloft_config::edge::EdgeSettings;
 use galenaloft_policy::evacuation::ZoneChange;
 use galenaloft_policy::quarantine::CrashDigest;
+use galenaloft_policy::store_position::StorePosition;
 
 use super::*;
 
@@ -19,9 +20,10 @@
     let sender = host("b", "evacuation: true\n");
     let receiver = host("a", "evacuation: true\n");
     let without_setting = host("a", "");
-    for (revision, evacuated) in [(5, true), (6, false), (7, true)] {
+    for (era, revision, evacuated) in [(1, 5, true), (1, 6, false), (1, 7, true), (2, 3, false)] {
+        let position = StorePosition { era, revision };
         sender.apply_zone_changes(
-            &[ZoneChange { zone: "a".into(), evacuated, revision }],
+            &[ZoneChange { zone: "a".into(), evacuated, position }],
             ZoneChangeSource::Store,
         );
         for purpose in [Purpose::Probe { wants_all: false }, Purpose::Reply, Purpose::Ping] {
--- a/crates/edge/src/peers/messages/tests.rs
+++ b/crates/edge/src/peers/messages/tests.rs
@@ -93,8 +93,8 @@
     let plain = bincode::serialize(&datagram).unwrap();
     assert_eq!(datagram.encode(&[]).unwrap(), plain);
     let zones = [
-        ZoneChange { zone: "a".into(), evacuated: true, revision: 9 },
-        ZoneChange { zone: "b".into(), evacuated: false, revision: 8 },
+        ZoneChange { zone: "a".into(), evacuated: true, position: at(9) },
+        ZoneChange { zone: "b".into(), evacuated: false, position: at(8) },
     ];
     let bytes = datagram.encode(&zones).unwrap();
     for (bytes, zones) in [(&plain, &[][..]), (&bytes, &zones[..])] {
@@ -111,7 +111,7 @@
     let mut state = Evacuations::default();
     for revision in 0..200 {
         let zone = format!("{revision:0128}").into();
-        state.apply(&ZoneChange { zone, evacuated: true, revision });
+        state.apply(&ZoneChange { zone, evacuated: true, position: at(revision) });
     }
     let purpose = Purpose::StoreUpdate(update(1, 2..102));
     let crashes = CrashDigest::default();
--- a/crates/edge/src/store/reader.rs
+++ b/crates/edge/src/store/reader.rs
@@ -152,7 +152,7 @@
                 }
                 if std::mem::take(&mut self.store_failed) {
                     let position = self.position.unwrap_or_default();
-                    Event::new("store_back").with("position", position).info();
+                    Event::new("store_back").with("revision", position).info();
                 }
             }
             Err(e) => self.handle_error(&e, ended_at).await,
@@ -215,10 +215,10 @@
         };
         [&config, &listing, &changes].into_iter().for_each(|update| self.log_unreadable(update));
         Event::new("store_loaded")
-            .with("config_position", config.position.unwrap_or_default())
-            .with("list_position", listed_at)
+            .with("config_revision", config.position.unwrap_or_default())
+            .with("list_revision", listed_at)
             .with("searchers", listing.searchers.len())
-            .with("position", changes.position.unwrap_or_default())
+            .with("revision", changes.position.unwrap_or_default())
             .with("changes", changes.searchers.len())
             .info();
         let now = now();
@@ -247,7 +247,7 @@
     fn replace_evacuated_zones(&self, listing: &Update) {
         if self.host.settings.evacuation
             && let Some(position) = listing.position
-            && self.host.replace_evacuated_zones(&listing.zones, position.revision)
+            && self.host.replace_evacuated_zones(&listing.zones, position, now())
         {
             self.host.peers.announce_zone_changes();
         }
@@ -265,7 +265,7 @@
         match e {
             StoreError::HistoryGone => {
                 let position = self.position.unwrap_or_default();
-                Event::new("store_history_gone").with("position", position).info();
+                Event::new("store_history_gone").with("revision", position).info();
                 // The store has compacted the changes after this position; the next read loads
                 // everything.
                 self.position = None;
@@ -369,8 +369,8 @@
         let own_config = self.host.config_version();
         if sender_config > own_config {
             Event::new("store_update_without_config")
-                .with("position", update.position)
-                .with("own_position", known)
+                .with("revision", update.position)
+                .with("own_revision", known)
                 .with("config", sender_config)
                 .with("own_config", own_config)
                 .info();
@@ -390,7 +390,7 @@
             if let Some(view) = self.host.relays.fetch_store_view(address, PEER_TIMEOUT).await {
                 Event::new("store_known_by_peer")
                     .with("peer", address)
-                    .with("position", view.position)
+                    .with("revision", view.position)
                     .with("age_ms", view.age.as_millis())
                     .info();
                 self.adopt_view(view);
@@ -402,7 +402,7 @@
     /// Adopts the configuration that a peer knows if it is newer, and its list of searchers if this
     /// host has none.
     fn adopt_view(&mut self, view: StoreView) {
-        self.host.merge_evacuations(&view.evacuations);
+        self.host.merge_evacuations(&view.evacuations, now());
         self.adopt_configuration(view.config);
         if self.position.is_some() {
             return;
@@ -452,6 +452,9 @@
         self.directory.record_store_answer(now);
         let expired = self.directory.drop_expired(now);
         self.publish_searchers(expired);
+        if self.host.end_lost_evacuations(now) {
+            self.host.peers.announce_zone_changes();
+        }
         if let Some(known) = lock(&self.host.known_searchers).as_mut() {
             known.position = self.position.unwrap_or(known.position);
             known.as_of = at;
