--- a/bin/galenaloft-edge/tests/edge/changes.rs
+++ b/bin/galenaloft-edge/tests/edge/changes.rs
@@ -402,3 +402,70 @@
     let after: usize = platform.singles.iter().map(Searcher::runs).sum();
     assert_eq!(after, before, "requests were run by the service of the older configuration");
 }
+
+/// Guards against a searcher that stays in use (review/14): its entry is removed after the store came back
+/// from a copy, and the removal's revision is below that of the entry before.
+#[tokio::test(flavor = "multi_thread")]
+async fn searcher_that_leaves_after_the_store_came_back_from_a_copy_gets_no_request_in_time() {
+    let platform = start_platform().await;
+    let hosts = three_hosts(&platform, 28760).await;
+    let copy = platform.store.revision();
+    let heartbeats = || {
+        for _ in 0..100 {
+            platform.singles.iter().for_each(Searcher::register_again);
+        }
+    };
+    heartbeats();
+    sleep(1_500 * MS).await;
+    restore(&platform, copy).await;
+    platform.singles.iter().for_each(Searcher::register_again);
+    sleep(4_000 * MS).await;
+    let leaving = &platform.singles[0];
+    leaving.deregister();
+    sleep(3_000 * MS).await;
+    let before = leaving.runs();
+    for _ in 0..4 {
+        for host in &hosts {
+            assert_eq!(host.get(FETCH_PATH).await.status, 200);
+        }
+    }
+    assert_eq!(leaving.runs(), before);
+}
+
+/// Guards against requests to a searcher that left before the store's return, and whose entry the copy
+/// still has, and against searchers that are dropped since the copy lacks their entries.
+#[tokio::test(flavor = "multi_thread")]
+async fn copy_neither_brings_back_a_searcher_that_left_nor_ends_the_use_of_those_that_it_lacks() {
+    let platform = start_platform().await;
+    let before_all = platform.store.revision();
+    // In the copy, the first searcher is listed and the second is not.
+    platform.singles[1].deregister();
+    let copy = platform.store.revision();
+    platform.singles[1].register_again();
+    let hosts = three_hosts(&platform, 28770).await;
+    assert!(copy > before_all);
+    let (left, lacking) = (&platform.singles[0], &platform.singles[1]);
+    left.deregister();
+    sleep(2_000 * MS).await;
+    platform.store.restore(copy);
+    let before = left.runs();
+    for round in 0..30 {
+        // Written again as heartbeats are.
+        if round == 10 {
+            lacking.register_again();
+        }
+        for host in &hosts {
+            assert_eq!(host.get(FETCH_PATH).await.status, 200, "round {round}");
+        }
+        sleep(100 * MS).await;
+    }
+    assert_eq!(left.runs(), before);
+    left.register_again();
+    wait_until("the searcher that came back is used", || async {
+        for host in &hosts {
+            host.get(FETCH_PATH).await;
+        }
+        left.runs() > before
+    })
+    .await;
+}
--- a/crates/edge/src/peers/messages.rs
+++ b/crates/edge/src/peers/messages.rs
@@ -16,7 +16,6 @@
 use galenaloft_policy::ids::RouteName;
 use galenaloft_policy::ids::SearcherId;
 use galenaloft_policy::ids::ServiceId;
-use galenaloft_policy::ids::StoreRevision;
 use galenaloft_policy::membership::HostFact;
 use galenaloft_policy::notice::LimitReport;
 use galenaloft_policy::notice::WarmupReport;
@@ -123,8 +122,7 @@
         let mut after = self.after;
         let mut updates: Vec<Self> = Vec::new();
         for changes in self.changes.chunks(max_changes) {
-            let last = changes.last().map_or(after.revision, |change| change.revision);
-            let position = after.max(StorePosition { revision: last, ..after });
+            let position = changes.last().map_or(after, |change| change.position.max(after));
             let returned_ago = self.returned_ago;
             updates.push(Self { after, position, changes: changes.to_vec(), returned_ago });
             after = position;
@@ -137,15 +135,15 @@
     }
 
     fn drop_superseded(&mut self) {
-        let mut rewritten: BTreeMap<SearcherId, (StoreRevision, SearcherEntry)> = BTreeMap::new();
-        for RevisionedChange { change, revision } in &self.changes {
+        let mut rewritten: BTreeMap<SearcherId, (StorePosition, SearcherEntry)> = BTreeMap::new();
+        for RevisionedChange { change, position } in &self.changes {
             if let Change::Written(entry) = change {
-                rewritten.insert(entry.id.clone(), (*revision, entry.clone()));
+                rewritten.insert(entry.id.clone(), (*position, entry.clone()));
             }
         }
-        self.changes.retain(|RevisionedChange { change, revision }| {
-            rewritten.get(change.searcher()).is_none_or(|(last_revision, last)| {
-                revision >= last_revision
+        self.changes.retain(|RevisionedChange { change, position }| {
+            rewritten.get(change.searcher()).is_none_or(|(last_position, last)| {
+                position >= last_position
                     || matches!(change, Change::Written(entry) if entry.makes_draining(last))
             })
         });
@@ -158,7 +156,7 @@
 pub struct StoreView {
     /// Current configuration, if the host has one.
     pub config: Option<Configuration>,
-    /// Entries of all listed searchers, with their revisions.
+    /// Entries of all listed searchers, with their positions.
     pub searchers: Vec<RevisionedChange>,
     /// Those of the listed searchers that stated that they are leaving.
     pub leaving: Vec<SearcherRun>,
--- a/crates/edge/src/peers/messages/tests.rs
+++ b/crates/edge/src/peers/messages/tests.rs
@@ -1,12 +1,13 @@
 use galenaloft_policy::directory::SearcherEntry;
 use galenaloft_policy::directory::SearcherState;
+use galenaloft_policy::ids::StoreRevision;
 
 use super::*;
 
 fn update(after: StoreRevision, revisions: impl Iterator<Item = StoreRevision>) -> StoreUpdate {
     let change = |revision| {
         let change = Change::Removed(format!("s{revision}").into());
-        RevisionedChange { change, revision }
+        RevisionedChange { change, position: at(revision) }
     };
     let changes: Vec<RevisionedChange> = revisions.map(change).collect();
     StoreUpdate { after: at(after), position: at(4_000), changes, returned_ago: None }
@@ -26,8 +27,9 @@
     for part in &parts {
         assert_eq!(part.after, after);
         after = part.position;
-        let range = part.after.revision + 1..=part.position.revision;
-        let in_range = |change: &RevisionedChange| range.contains(&change.revision);
+        let in_range = |change: &RevisionedChange| {
+            change.position > part.after && change.position <= part.position
+        };
         assert!(part.changes.iter().all(in_range));
         assert!(bincode::serialize(part).unwrap().len() < 20 * 1024);
     }
@@ -60,10 +62,10 @@
 fn passed_on(changes: impl IntoIterator<Item = Change>) -> Vec<StoreRevision> {
     let mut whole = update(1_000, std::iter::empty());
     let revisioned = changes.into_iter().zip(1_001..);
-    whole.changes =
-        revisioned.map(|(change, revision)| RevisionedChange { change, revision }).collect();
+    let positioned = |(change, revision)| RevisionedChange { change, position: at(revision) };
+    whole.changes = revisioned.map(positioned).collect();
     let parts = whole.split(100);
-    parts[0].changes.iter().map(|c| c.revision).collect()
+    parts[0].changes.iter().map(|c| c.position.revision).collect()
 }
 
 #[test]
--- a/crates/edge/src/searchers/tests.rs
+++ b/crates/edge/src/searchers/tests.rs
@@ -12,6 +12,7 @@
 use galenaloft_policy::route::Target;
 use galenaloft_policy::routing::ConnectionShare;
 use galenaloft_policy::routing::SharingHosts;
+use galenaloft_policy::store_position::StorePosition;
 
 use super::*;
 
@@ -72,7 +73,7 @@
     for (revision, id) in ["s1", "s2", "s3"].into_iter().enumerate() {
         let revision = revision as u64 + 1;
         directory.apply(
-            RevisionedChange { change: Change::Written(entry(id)), revision },
+            RevisionedChange { change: Change::Written(entry(id)), position: at(revision) },
             Instant::now(),
         );
     }
@@ -100,12 +101,16 @@
     assert!(searcher.begin_probe().is_some());
 }
 
+fn at(revision: u64) -> StorePosition {
+    StorePosition { era: 1, revision }
+}
+
 fn fleet_in_zones(zones: [&str; 3]) -> (Fleet, Directory) {
     let mut directory = Directory::default();
     for (index, zone) in zones.into_iter().enumerate() {
         let entry = SearcherEntry { zone: zone.into(), ..entry(&format!("s{index}")) };
         let revision = index as u64 + 1;
-        let change = RevisionedChange { change: Change::Written(entry), revision };
+        let change = RevisionedChange { change: Change::Written(entry), position: at(revision) };
         directory.apply(change, Instant::now());
     }
     let fleet = Fleet::new("a".into());
@@ -129,7 +134,10 @@
     // Searchers that are listed during the evacuation.
     let mut later = directory.clone();
     let started = SearcherEntry { start_time: 2, ..entry("s0") };
-    later.apply(RevisionedChange { change: Change::Written(started), revision: 9 }, Instant::now());
+    later.apply(
+        RevisionedChange { change: Change::Written(started), position: at(9) },
+        Instant::now(),
+    );
     fleet.update(&later);
     assert_eq!(choose_all(&fleet, &[], ZoneScope::All), ["s1"]);
     fleet.set_evacuated(&["a".into(), "b".into()].into());
@@ -159,7 +167,7 @@
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let mut directory = Directory::default();
     let listed = SearcherEntry { address: listener.local_addr().unwrap(), ..entry("s0") };
-    let change = RevisionedChange { change: Change::Written(listed), revision: 1 };
+    let change = RevisionedChange { change: Change::Written(listed), position: at(1) };
     directory.apply(change, Instant::now());
     let fleet = Fleet::new("a".into());
     fleet.update(&directory);
--- a/crates/edge/src/store/reader.rs
+++ b/crates/edge/src/store/reader.rs
@@ -225,7 +225,7 @@
         self.replace_evacuated_zones(&config);
         self.apply_zone_changes(&changes);
         self.adopt_configuration(changes.configuration.or(config.configuration));
-        let mut changed = self.directory.replace(listing.searchers, position.revision, now);
+        let mut changed = self.directory.replace(listing.searchers, position, now);
         for change in changes.searchers {
             changed |= self.directory.apply(change, now) == ChangeEffect::Changed;
         }
@@ -359,6 +359,7 @@
             return;
         };
         let received_at = now();
+        self.directory.record_era(update.position.era, received_at);
         if let Some(at) = update.returned_ago.and_then(|ago| received_at.checked_sub(ago)) {
             self.directory.record_unnoticed_outage(at);
         }
@@ -411,7 +412,7 @@
             self.host.fleet.record_leaving(run);
         }
         let now = now();
-        let changed = self.directory.replace(view.searchers, view.position.revision, now);
+        let changed = self.directory.replace(view.searchers, view.position, now);
         self.position = Some(view.position);
         self.publish_searchers(changed);
         self.host.searchers_loaded.store(true, Ordering::Relaxed);
@@ -444,14 +445,14 @@
         relevant
     }
 
-    /// Records that all changes up to the time `at` are known, and drops searchers whose entries
-    /// expired.
+    /// Records that all changes up to the time `at` are known, and settles what was uncertain after the
+    /// store had been away.
     fn record_known_up_to(&mut self, at: Instant) {
         let now = now();
         self.schedule.record_known_up_to(at);
         self.directory.record_store_answer(now);
-        let expired = self.directory.drop_expired(now);
-        self.publish_searchers(expired);
+        let settled = self.directory.settle(now);
+        self.publish_searchers(settled);
         if self.host.end_lost_evacuations(now) {
             self.host.peers.announce_zone_changes();
         }
