--- a/crates/edge/src/store/reader.rs
+++ b/crates/edge/src/store/reader.rs
@@ -161,15 +161,16 @@
         }
     }
 
-    /// Logs the store's era if it is another one than after the last read, with the position
-    /// that was known before this read.
+    /// Logs the store's era if it is another one than after the last read, with the position that was
+    /// known before this read.
     fn log_era(&mut self, known: Option<StorePosition>) {
         let era = self.client.era();
         if std::mem::replace(&mut self.logged_era, era) != era {
-            Event::new("store_era")
-                .with("era", era)
-                .with("known", known.unwrap_or_default())
-                .warn();
+            let event = Event::new("store_era").with("era", era);
+            match known {
+                Some(position) => event.with("known", position).warn(),
+                None => event.info(),
+            }
             self.host.metrics.store_era(era);
         }
     }
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -13,5 +13,6 @@
 mod notices;
 mod plan;
 mod proxy;
+pub mod restores;
 pub mod run;
 mod world;
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -17,6 +17,7 @@
 use crate::notices;
 use crate::plan;
 use crate::plan::Kinds;
+use crate::restores;
 pub use crate::world::Size;
 use crate::world::World;
 
@@ -72,6 +73,10 @@
     // Drawn on their own too.
     let zones_rng = SmallRng::seed_from_u64(seed.rotate_left(32));
     played.spawn(play_evacuations(world.clone(), seed, zones_rng, faults_end));
+    if kinds == Kinds::All {
+        let rng = SmallRng::seed_from_u64((!seed).rotate_left(32));
+        played.spawn(play_restores(world.clone(), seed, rng, faults_end));
+    }
     while Instant::now() < faults_end {
         let action = plan::draw(kinds, &mut rng);
         println!("seed={seed} at_ms={} action={action:?}", began.elapsed().as_millis());
@@ -119,6 +124,25 @@
     }
 }
 
+/// Draws and plays returns of the store from copies, one after the other, until `end`.
+async fn play_restores(
+    world: Arc<World>,
+    seed: u64,
+    mut rng: SmallRng,
+    end: Instant,
+) -> io::Result<()> {
+    let began = Instant::now();
+    loop {
+        sleep(restores::pause(&mut rng)).await;
+        if Instant::now() >= end {
+            return Ok(());
+        }
+        let restore = restores::draw(&mut rng);
+        println!("seed={seed} at_ms={} restore={restore:?}", began.elapsed().as_millis());
+        world.play_restore(restore).await;
+    }
+}
+
 /// Draws and plays statements of searchers until `end`.
 async fn play_notices(
     world: Arc<World>,
--- a/tools/soak/src/world.rs
+++ b/tools/soak/src/world.rs
@@ -33,6 +33,7 @@
 use crate::plan::Action;
 use crate::proxy::Harm;
 use crate::proxy::Proxy;
+use crate::restores::Restore;
 
 /// Availability zones.
 const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -55,6 +56,9 @@
 /// Time for which a new searcher is listed before the old one leaves.
 const OVERLAP: Duration = Duration::from_millis(600);
 
+/// Time after which the store removes an entry that is not renewed.
+const EXPIRY: Duration = Duration::from_millis(3_600);
+
 /// Time between two changes of an evacuation that flickers.
 const FLICKER: Duration = Duration::from_millis(50);
 
@@ -167,6 +171,8 @@
 pub struct World {
     size: Size,
     store: Store,
+    /// Revision of the store at which all hosts had started.
+    first_revision: u64,
     hosts: Vec<Host>,
     places: Vec<Place>,
     history: Mutex<History>,
@@ -179,6 +185,7 @@
         let address = store.serve().await?;
         let mut world = Self {
             store,
+            first_revision: 0,
             hosts: Vec::new(),
             places: Vec::new(),
             history: Mutex::default(),
@@ -209,6 +216,7 @@
         for host in 0..size.hosts {
             world.await_ready(host).await;
         }
+        world.first_revision = world.store.revision();
         Ok(Arc::new(world))
     }
 
@@ -345,6 +353,24 @@
         self.lock().evacuated.push(Evacuated { zone, from, until });
     }
 
+    /// Takes the store away for a while and brings it back from a copy. The operator writes what was lost
+    /// again at once, searchers with their heartbeats, and entries that came back expire.
+    pub async fn play_restore(&self, restore: Restore) {
+        let event = self.begin(Target::Store);
+        self.store.set_fault(match restore.silent {
+            true => StoreFault::Silent,
+            false => StoreFault::Refuse(503),
+        });
+        sleep(restore.time).await;
+        let copy = self.store.revision().saturating_sub(restore.lost).max(self.first_revision);
+        let lost = self.store.restore(copy);
+        self.store.write_again(&lost, |key, _| key.starts_with("op/"));
+        self.store.set_fault(StoreFault::None);
+        self.end(event);
+        sleep(EXPIRY).await;
+        self.store.write_again(&lost, |_, was_there| !was_there);
+    }
+
     /// Waits until no host is being stopped, started or held, and every one is ready.
     pub async fn settle(&self) {
         for host in 0..self.hosts.len() {
