--- a/bin/galenaloft-edge/tests/edge/changes.rs
+++ b/bin/galenaloft-edge/tests/edge/changes.rs
@@ -496,7 +496,6 @@
     platform.store.delete("servers/a0");
     platform.store.set_fault(StoreFault::None);
     let mut config = platform.configuration(9);
-    config["routes"][1]["timeout_ms"] = json!(3_999);
     config["routes"][1]["prefix"] = json!("/moved/");
     platform.configure(&config);
     (0..100).for_each(|_| stays.register_again());
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -73,7 +73,7 @@
 /// The searchers that the store listed at one point in time.
 #[derive(Debug, Clone)]
 pub struct KnownSearchers {
-    /// Searchers, each with its revision.
+    /// Searchers, each with the store position of its entry.
     pub searchers: Vec<RevisionedChange>,
     /// Position of the store up to which changes are included.
     pub position: StorePosition,
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -2,7 +2,7 @@
 //! and searchers saw.
 //!
 //! `plan` draws the faults from a seed, `notices` what searchers state in their answers, `evacuations` which zones are
-//! evacuated, `world` carries them out on `edge` processes and through `proxy` connections, `callers` send requests
+//! evacuated, `restores` when the store comes back from a copy, `world` carries them out on `edge` processes and through `proxy` connections, `callers` send requests
 //! meanwhile, `check` compares what both ends saw. `crowd` has hostile callers for tests and measurements.
 
 mod callers;
@@ -13,6 +13,6 @@
 mod notices;
 mod plan;
 mod proxy;
-pub mod restores;
+mod restores;
 pub mod run;
 mod world;
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -1,5 +1,6 @@
 //! One seed from start to verdict.
 
+use std::fmt;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -72,10 +73,21 @@
     }
     // Drawn on their own too.
     let zones_rng = SmallRng::seed_from_u64(seed.rotate_left(32));
-    played.spawn(play_evacuations(world.clone(), seed, zones_rng, faults_end));
+    let evacuations =
+        Draws { name: "evacuation", pause: evacuations::pause, draw: evacuations::draw };
+    let evacuated = world.clone();
+    played.spawn(play_in_turn(evacuations, seed, zones_rng, faults_end, move |evacuation| {
+        let world = evacuated.clone();
+        async move { world.play_evacuation(evacuation).await }
+    }));
     if kinds == Kinds::All {
         let rng = SmallRng::seed_from_u64((!seed).rotate_left(32));
-        played.spawn(play_restores(world.clone(), seed, rng, faults_end));
+        let restores = Draws { name: "restore", pause: restores::pause, draw: restores::draw };
+        let restored = world.clone();
+        played.spawn(play_in_turn(restores, seed, rng, faults_end, move |restore| {
+            let world = restored.clone();
+            async move { world.play_restore(restore).await }
+        }));
     }
     while Instant::now() < faults_end {
         let action = plan::draw(kinds, &mut rng);
@@ -105,41 +117,33 @@
     Ok(Report { seed, requests: seen.len(), served, actions, broken })
 }
 
-/// Draws and plays evacuations, one after the other, until `end`.
-async fn play_evacuations(
-    world: Arc<World>,
-    seed: u64,
-    mut rng: SmallRng,
-    end: Instant,
-) -> io::Result<()> {
-    let began = Instant::now();
-    loop {
-        sleep(evacuations::pause(&mut rng)).await;
-        if Instant::now() >= end {
-            return Ok(());
-        }
-        let evacuation = evacuations::draw(&mut rng);
-        println!("seed={seed} at_ms={} evacuation={evacuation:?}", began.elapsed().as_millis());
-        world.play_evacuation(evacuation).await;
-    }
+/// How events of one kind are drawn that follow each other.
+struct Draws<T> {
+    /// What the output calls such an event.
+    name: &'static str,
+    /// Draws the pause before an event.
+    pause: fn(&mut SmallRng) -> Duration,
+    /// Draws an event.
+    draw: fn(&mut SmallRng) -> T,
 }
 
-/// Draws and plays returns of the store from copies, one after the other, until `end`.
-async fn play_restores(
-    world: Arc<World>,
+/// Draws and plays events of one kind, one after the other, until `end`.
+async fn play_in_turn<T: fmt::Debug, F: Future<Output = ()>>(
+    draws: Draws<T>,
     seed: u64,
     mut rng: SmallRng,
     end: Instant,
+    play: impl Fn(T) -> F,
 ) -> io::Result<()> {
     let began = Instant::now();
     loop {
-        sleep(restores::pause(&mut rng)).await;
+        sleep((draws.pause)(&mut rng)).await;
         if Instant::now() >= end {
             return Ok(());
         }
-        let restore = restores::draw(&mut rng);
-        println!("seed={seed} at_ms={} restore={restore:?}", began.elapsed().as_millis());
-        world.play_restore(restore).await;
+        let event = (draws.draw)(&mut rng);
+        println!("seed={seed} at_ms={} {}={event:?}", began.elapsed().as_millis(), draws.name);
+        play(event).await;
     }
 }
 
